--- /dev/null
+++ b/cmake/easylogging.cpp
@@ -0,0 +1,1 @@
+#include <easylogging++.cc>
--- /dev/null
+++ b/persimmonlb/http/client.h
@@ -0,0 +1,80 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include <boost/asio/io_context.hpp>
+
+#include "persimmonlb/base/error.h"
+#include "persimmonlb/http/message.h"
+
+namespace persimmonlb
+{
+
+/// How far a request got on its way to the server.
+enum class SendState : std::uint8_t {
+    NothingSent, ///< No byte left for the socket: the request was surely not run.
+    Sent, ///< At least one byte may have arrived.
+};
+
+/// How an exchange ended.
+struct HttpExchangeEnd {
+    SendState sendState = SendState::NothingSent;
+    /// Ok: the answer was whole (by its length or last chunk). BackendConnectFailed,
+    /// DeadlineExceeded, StreamBroken (after the head), BackendFailed (before it), Cancelled.
+    ResultCode code = ResultCode::Ok;
+    std::string message;
+
+    bool operator==(const HttpExchangeEnd &) const = default;
+};
+
+/// Called on the decision thread, in this order: head once, chunk any number of times, end once.
+/// After end, none is called. A cancelled exchange calls none.
+struct HttpExchangeHooks {
+    std::function<void(HttpResponseHead head)> head;
+    std::function<void(std::string chunk)> chunk;
+    std::function<void(HttpExchangeEnd end)> end;
+};
+
+/// A running exchange. Destroying it cancels: the connection is closed, no hook is called.
+class HttpExchange
+{
+public:
+    HttpExchange() = default;
+    HttpExchange(const HttpExchange &) = delete;
+    HttpExchange &operator=(const HttpExchange &) = delete;
+    virtual ~HttpExchange() = default;
+
+    /// Stops reading until resume(), for back-pressure.
+    virtual void pause() = 0;
+    virtual void resume() = 0;
+};
+
+struct HttpClientOptions {
+    Milliseconds connectTimeout{1000};
+    Milliseconds idleConnectionTimeout{30000};
+    std::uint32_t maxIdlePerServer = 32;
+};
+
+/// HTTP/1.1 client with a pool of kept-alive connections per address. A pooled connection that
+/// turns out closed before any answer byte counts as Sent: this module never resends by itself.
+class HttpClient
+{
+public:
+    static std::unique_ptr<HttpClient> create(boost::asio::io_context &context,
+                                              HttpClientOptions options);
+
+    HttpClient() = default;
+    HttpClient(const HttpClient &) = delete;
+    HttpClient &operator=(const HttpClient &) = delete;
+    virtual ~HttpClient() = default;
+
+    /// Starts an exchange with "ip:port". `deadline` bounds the whole exchange; zero: none.
+    virtual std::unique_ptr<HttpExchange> start(const std::string &address, HttpRequest request,
+                                                Milliseconds deadline, HttpExchangeHooks hooks)
+        = 0;
+};
+
+} // namespace persimmonlb
--- /dev/null
+++ b/persimmonlb/http/server.h
@@ -0,0 +1,77 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include <boost/asio/io_context.hpp>
+
+#include "persimmonlb/base/error.h"
+#include "persimmonlb/http/message.h"
+
+namespace persimmonlb
+{
+
+/// Answers one request. Ends exactly once: by respond(), finish() or abort(). All calls on the
+/// decision thread; calls after the end are ignored.
+class HttpResponder
+{
+public:
+    HttpResponder() = default;
+    HttpResponder(const HttpResponder &) = delete;
+    HttpResponder &operator=(const HttpResponder &) = delete;
+    virtual ~HttpResponder() = default;
+
+    /// Sends a whole answer.
+    virtual void respond(HttpResponse response) = 0;
+    /// Starts a chunked answer.
+    virtual void start(HttpResponseHead head) = 0;
+    /// Sends one chunk; `written` is called once it left for the socket (for back-pressure).
+    virtual void write(std::string chunk, std::function<void()> written) = 0;
+    /// Ends a chunked answer properly.
+    virtual void finish() = 0;
+    /// Breaks the connection, so that a started answer cannot look whole.
+    virtual void abort() = 0;
+    /// Called once when the caller went away before the answer ended.
+    virtual void onClosed(std::function<void()> closed) = 0;
+};
+
+struct HttpServerOptions {
+    std::uint64_t maxBodyBytes = 128ULL * 1024 * 1024;
+    std::uint32_t maxHeaderBytes = 16 * 1024;
+    Milliseconds headerTimeout{10000}; ///< To receive a whole header section.
+    Milliseconds bodyTimeout{60000}; ///< To receive a whole body.
+    Milliseconds idleTimeout{60000}; ///< Between requests of a connection.
+    std::uint32_t maxConnections = 20000;
+};
+
+using HttpHandler
+    = std::function<void(HttpRequest request, std::shared_ptr<HttpResponder> responder)>;
+
+/// HTTP/1.1 listener over Boost.Beast with keep-alive. Broken input is answered with the error
+/// body of INTERFACE.md (codes 101, 102, 103, 107) and closes that connection alone.
+class HttpServer
+{
+public:
+    /// Listens on "ip:port" (port 0: a free one). Errors: AddressInUse, SettingsInvalid.
+    static Result<std::unique_ptr<HttpServer>> listen(boost::asio::io_context &context,
+                                                      const std::string &address,
+                                                      HttpServerOptions options,
+                                                      HttpHandler handler);
+
+    HttpServer() = default;
+    HttpServer(const HttpServer &) = delete;
+    HttpServer &operator=(const HttpServer &) = delete;
+    virtual ~HttpServer() = default;
+
+    [[nodiscard]] virtual std::uint16_t port() const = 0;
+    /// From now on each answer carries "Connection: close"; idle connections are closed.
+    virtual void closeIdleConnections() = 0;
+    /// Stops accepting.
+    virtual void stopListening() = 0;
+    /// Requests whose answer has not ended.
+    [[nodiscard]] virtual std::size_t openRequests() const = 0;
+};
+
+} // namespace persimmonlb
--- /dev/null
+++ b/persimmonlb/wire/mesh.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "persimmonlb/base/clock.h"
+#include "persimmonlb/base/error.h"
+#include "persimmonlb/base/ids.h"
+
+namespace persimmonlb
+{
+
+struct MeshPeer {
+    HostId host;
+    std::string address; ///< "ip:port" of its mesh listener.
+
+    bool operator==(const MeshPeer &) const = default;
+};
+
+struct MeshOptions {
+    HostId self;
+    std::string listenAddress; ///< "ip:port"; port 0 takes a free one.
+    std::string sharedKey; ///< Secret of all our processes; proved by challenge, never sent.
+    std::vector<MeshPeer> peers;
+    Milliseconds reconnectInterval{200};
+    std::uint64_t maxMessageBytes = 16ULL * 1024 * 1024;
+    std::uint64_t maxQueuedBytesPerPeer = 64ULL * 1024 * 1024;
+};
+
+struct MeshHooks {
+    std::function<void(const HostId &from, std::string bytes)> received;
+    std::function<void(const HostId &peer)> connected;
+    std::function<void(const HostId &peer)> disconnected;
+    /// Runs a function on the decision thread; the other hooks are only called through it.
+    std::function<void(std::function<void()>)> post;
+};
+
+/// Connections to every peer over websocketpp, with a challenge in both directions before the
+/// first message. Runs on a thread of its own; send() may be called from the decision thread.
+/// Messages are sent at most once and in order per connection; one that cannot be queued is
+/// dropped.
+class Mesh
+{
+public:
+    /// Listens and starts to connect. Errors: AddressInUse, SettingsInvalid.
+    static Result<std::unique_ptr<Mesh>> start(MeshOptions options, MeshHooks hooks);
+
+    Mesh() = default;
+    Mesh(const Mesh &) = delete;
+    Mesh &operator=(const Mesh &) = delete;
+    /// Closes every connection and joins the thread.
+    virtual ~Mesh() = default;
+
+    /// Queues a message; false when the peer is not connected or its queue is full.
+    virtual bool send(const HostId &to, std::string bytes) = 0;
+    /// Port of the listener.
+    [[nodiscard]] virtual std::uint16_t port() const = 0;
+};
+
+} // namespace persimmonlb
