Contract: host list and entry state version in lease messages

Cause: a cancelled job may be acknowledged only when every entry host has confirmed it or lapsed, and a host list in every grant would cost a node 100 KB/s at 350 hosts; it is sent on change or on request.

--- a/persimmonlb/wire/message.h
+++ b/persimmonlb/wire/message.h
@@ -127,6 +127,9 @@
     Region region;
     std::uint64_t sheetNumber = 0;
     std::uint64_t entryStateVersion = 0;
+    std::uint64_t hostsVersion = 0; ///< Of the host list this entry has.
+    bool wantHosts = false; ///< Send the host list even when it has not changed.
+    std::string meshAddress; ///< "ip:port" of the mesh listener.
     bool draining = false;
     bool stopped = false; ///< Last word of a planned stop: nothing runs here any more.
 
@@ -141,8 +144,10 @@
     Region region;
     Incarnation incarnation = 0;
     std::uint64_t sheetNumber = 0;
+    std::uint64_t entryStateVersion = 0;
+    std::string meshAddress; ///< "ip:port" of its mesh listener.
     bool draining = false;
-    std::uint64_t leaseLeftMs = 0;
+    std::uint64_t leaseLeftMs = 0; ///< 0: lapsed for certain.
 
     bool operator==(const EntryHostInfo &) const = default;
 };
@@ -155,6 +160,8 @@
     std::uint64_t sheetNumber = 0; ///< In force; an entry behind it fetches it.
     std::uint64_t entryStateVersion = 0;
     bool draining = false; ///< An operator asked this host to drain.
+    std::uint64_t hostsVersion = 0;
+    bool hasHosts = false; ///< `hosts` is filled: the list changed, or was asked for.
     std::vector<EntryHostInfo> hosts;
 
     bool operator==(const LeaseGrant &) const = default;
