--- /dev/null
+++ b/persimmonlb/daemon/settings_test.cpp
@@ -0,0 +1,90 @@
+#include <fstream>
+#include <sstream>
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include "persimmonlb/daemon/settings.h"
+
+namespace persimmonlb
+{
+
+namespace
+{
+
+const std::string valid = R"([host]
+id = "a"
+region = "sw-ng"
+availability_zone = "ife-a"
+roles = ["entry", "control"]
+data_folder = "data"
+[entry]
+listen = "127.0.0.1:8001"
+[mesh]
+listen = "127.0.0.1:9001"
+key_file = "mesh.key"
+[[mesh.peer]]
+host = "b"
+address = "127.0.0.1:9002"
+control = true
+[keys]
+operator_key_file = "operator.key"
+backend_key_file = "backend.key"
+)";
+
+struct BadSettings {
+    std::string from; ///< Text of `valid` to replace.
+    std::string to;
+    std::string message; ///< Must be part of the error.
+};
+
+std::ostream &operator<<(std::ostream &out, const BadSettings &bad)
+{
+    return out << bad.to;
+}
+
+const std::vector<BadSettings> badSettings = {
+    {"id = \"a\"", "id = \"a\"\ncolour = 1", "line 3: host.colour: unknown key"},
+    {"id = \"a\"", "id = 7", "line 2: host.id: must be a string"},
+    {"[mesh]", "answer_ttl_ms = 5\n[mesh]", "entry.answer_ttl_ms: must be 100 to 600000"},
+    {"listen = \"127.0.0.1:8001\"", "listen = \"here\"", "entry.listen: must be \"ip:port\""},
+    {"id = \"a\"\n", "", "host.id: missing"},
+    {"data_folder = \"data\"\n", "", "host.data_folder: missing for the role control"},
+    {"\"control\"]", "\"king\"]", "host.roles: unknown role \"king\""},
+    {"[keys]", "[[mesh.peer]]\nhost = \"b\"\naddress = \"127.0.0.1:1\"\n[keys]", "\"b\" twice"},
+    {"[host]", "[host", "line 1"},
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(SettingsTest)
+
+BOOST_AUTO_TEST_CASE(validSettingsAreReadWithDefaults)
+{
+    const auto outcome = capture([] { return parseSettings(valid); });
+    BOOST_REQUIRE_MESSAGE(outcome.ok(), (outcome.ok() ? "" : outcome.error().message));
+    const Settings &settings = outcome.value();
+    BOOST_TEST(settings.host.id.value == "a");
+    BOOST_TEST(settings.entry.advertise == "127.0.0.1:8001");
+    BOOST_TEST(settings.control.lease.count() == 5000);
+    BOOST_REQUIRE(settings.mesh.peers.size() == 1);
+    BOOST_TEST(settings.mesh.peers.front().control);
+}
+
+BOOST_DATA_TEST_CASE(badSettingsAreNamed, badSettings, bad)
+{
+    std::string text = valid;
+    const auto position = text.find(bad.from);
+    BOOST_REQUIRE(position != std::string::npos);
+    text.replace(position, bad.from.size(), bad.to);
+    const auto outcome = capture([&] { return parseSettings(text); });
+    BOOST_REQUIRE(!outcome.ok());
+    BOOST_TEST((outcome.error().code == ResultCode::SettingsInvalid));
+    BOOST_TEST(outcome.error().message.find(bad.message) != std::string::npos,
+               outcome.error().message);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace persimmonlb
