Batch dispatcher: leased items on owned servers, yielding, cancellation, drain

Cause: batch work must use idle capacity and give it back at once. Priority is kept by what is in flight, because engines admit as work comes. A yielded item keeps its lease and waits here; one that is not idempotent never yields.

--- /dev/null
+++ b/persimmonlb/dispatch/dispatcher.cpp
@@ -0,0 +1,354 @@
+#include "persimmonlb/dispatch/dispatcher.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "persimmonlb/base/digest.h"
+
+namespace persimmonlb
+{
+
+namespace
+{
+
+constexpr std::string_view notRunHeader = "Persimmonlb-Not-Run";
+constexpr std::uint16_t firstClientError = 400;
+constexpr std::uint16_t firstServerError = 500;
+constexpr std::uint16_t tooManyRequests = 429;
+constexpr std::uint16_t quarantinedStatus = 422;
+
+std::string requestIdOf(const LeasedItem &item)
+{
+    return item.job.value + "/" + std::to_string(item.index) + "/" + std::to_string(item.attempt);
+}
+
+std::string fingerprintOf(const ServiceName &service, const LeasedItem &item)
+{
+    return sha256Hex(service.value + "\n" + item.body);
+}
+
+HttpRequest requestFor(const LeasedItem &item, ServiceKind kind)
+{
+    HttpRequest request;
+    request.method = "POST";
+    request.target = kind == ServiceKind::Engine ? "/v1/chat/completions" : "/items";
+    request.headers.fields = {{"Content-Type", "application/json"},
+                              {"Persimmonlb-Request-Id", requestIdOf(item)},
+                              {"Persimmonlb-Attempt", std::to_string(item.attempt)},
+                              {"Persimmonlb-Class", "batch"}};
+    request.body = item.body;
+    return request;
+}
+
+} // namespace
+
+Dispatcher::Dispatcher(DispatcherOptions options, Clock clock, DispatcherHooks hooks)
+    : options_(std::move(options))
+    , clock_(std::move(clock))
+    , hooks_(std::move(hooks))
+    , nextFlush_(clock_.monotonic())
+{
+}
+
+Dispatcher::~Dispatcher() = default;
+
+void Dispatcher::tick()
+{
+    flushOutcomes();
+    if (draining_ || !hooks_.mayStart()) {
+        return;
+    }
+    for (const ServiceName &service : hooks_.services()) {
+        startWaiting(service, queues_[service]);
+    }
+}
+
+void Dispatcher::noteWork(const std::vector<ServiceName> &services)
+{
+    for (const ServiceName &service : services) {
+        queues_[service].moreWaits = true;
+    }
+}
+
+std::uint32_t Dispatcher::freeSlots(const DispatchServer &server, const BatchPolicy &policy) const
+{
+    const auto paused = pausedUntil_.find(server.server);
+    if (paused != pausedUntil_.end() && clock_.monotonic() < paused->second) {
+        return 0;
+    }
+    const std::uint32_t allowed = std::min(policy(server.load), options_.maxInFlightPerServer);
+    const std::uint32_t used = inFlight(server.server);
+    return allowed > used ? allowed - used : 0;
+}
+
+void Dispatcher::startWaiting(const ServiceName &service, ServiceQueue &queue)
+{
+    const BatchPolicy policy = hooks_.policy(service);
+    std::uint32_t unused = 0;
+    std::uint32_t capacity = 0;
+    for (const DispatchServer &server : hooks_.servers(service)) {
+        std::uint32_t slots = freeSlots(server, policy);
+        capacity += std::min(policy(server.load), options_.maxInFlightPerServer);
+        while (slots > 0 && !queue.waiting.empty()) {
+            LeasedItem item = std::move(queue.waiting.front());
+            queue.waiting.pop_front();
+            startItem(service, server, std::move(item));
+            --slots;
+        }
+        unused += slots;
+    }
+    // Half of the capacity is leased ahead, so that a free slot need not wait for the control
+    // group.
+    const std::uint32_t wanted = unused + (capacity + 1) / 2;
+    if (wanted > queue.waiting.size() && capacity > 0) {
+        leaseMore(service, queue, wanted - static_cast<std::uint32_t>(queue.waiting.size()));
+    }
+}
+
+void Dispatcher::leaseMore(const ServiceName &service, ServiceQueue &queue, std::uint32_t wanted)
+{
+    if (queue.leasing || !queue.moreWaits) {
+        return;
+    }
+    queue.leasing = true;
+    const LeaseItems request{.owner = options_.self,
+                             .sequence = ++queue.sequence,
+                             .service = service,
+                             .maxItems = std::min(wanted, options_.maxLeasePerRequest),
+                             .at = clock_.wall()};
+    hooks_.lease(request,
+                 [this, service](const Outcome<LeaseReply> &reply) { takeLease(service, reply); });
+}
+
+void Dispatcher::takeLease(const ServiceName &service, const Outcome<LeaseReply> &reply)
+{
+    ServiceQueue &queue = queues_[service];
+    queue.leasing = false;
+    if (!reply.ok()) {
+        // The lease may hold all the same: the same sequence gives the same items again.
+        --queue.sequence;
+        return;
+    }
+    queue.moreWaits = reply.value().pending > 0;
+    for (const LeasedItem &item : reply.value().items) {
+        if (cancelled_.contains(item.job)) {
+            continue;
+        }
+        if (draining_) {
+            record(item, ItemOutcomeKind::NotRun, 0, {});
+            continue;
+        }
+        if (hooks_.isConvicted(fingerprintOf(service, item))) {
+            record(item, ItemOutcomeKind::Rejected, quarantinedStatus,
+                   "earlier runs of this item crashed backend servers");
+            continue;
+        }
+        queue.waiting.push_back(item);
+    }
+}
+
+void Dispatcher::startItem(const ServiceName &service, const DispatchServer &server,
+                           LeasedItem item)
+{
+    const std::uint64_t id = nextRun_++;
+    HttpExchangeHooks exchange;
+    exchange.head = [this, id](const HttpResponseHead &head) {
+        Running &run = running_.at(id);
+        run.status = head.status;
+        run.refusedNotRun = head.headers.find(notRunHeader) == "true";
+    };
+    exchange.chunk = [this, id](const std::string &chunk) {
+        Running &run = running_.at(id);
+        run.tooLarge = run.tooLarge || run.body.size() + chunk.size() > options_.maxResultBytes;
+        if (!run.tooLarge) {
+            run.body += chunk;
+        }
+    };
+    exchange.end = [this, id](const HttpExchangeEnd &ended) {
+        end(id, ended);
+    };
+    HttpRequest request = requestFor(item, hooks_.kind(service));
+    Running run;
+    run.fingerprint = fingerprintOf(service, item);
+    run.item = std::move(item);
+    run.service = service;
+    run.server = server.server;
+    running_.emplace(id, std::move(run));
+    ++inFlight_[server.server];
+    hooks_.inFlightChanged(server.server, 1);
+    auto started = hooks_.send(server.address, std::move(request), options_.itemTimeout,
+                               std::move(exchange));
+    const auto still = running_.find(id);
+    if (still != running_.end()) {
+        still->second.exchange = std::move(started);
+    }
+}
+
+ItemOutcomeKind Dispatcher::classify(const Running &run, const HttpExchangeEnd &end)
+{
+    if (end.sendState == SendState::NothingSent || run.refusedNotRun) {
+        return ItemOutcomeKind::NotRun;
+    }
+    if (end.code != ResultCode::Ok || run.status >= firstServerError || run.tooLarge) {
+        return ItemOutcomeKind::Failed;
+    }
+    if (run.status == tooManyRequests) {
+        return ItemOutcomeKind::Failed;
+    }
+    return run.status >= firstClientError ? ItemOutcomeKind::Rejected : ItemOutcomeKind::Succeeded;
+}
+
+void Dispatcher::end(std::uint64_t id, const HttpExchangeEnd &end)
+{
+    const auto position = running_.find(id);
+    if (position == running_.end()) {
+        return;
+    }
+    Running &run = position->second;
+    const ItemOutcomeKind kind = classify(run, end);
+    const bool broken = end.sendState == SendState::Sent && end.code != ResultCode::Ok
+        && end.code != ResultCode::DeadlineExceeded;
+    if (kind == ItemOutcomeKind::NotRun || kind == ItemOutcomeKind::Failed) {
+        pausedUntil_[run.server] = clock_.monotonic() + options_.refusedServerPause;
+    }
+    if (broken) {
+        hooks_.serverLost(run.server, {run.fingerprint});
+    }
+    const LeasedItem item = std::move(run.item);
+    const ServiceName service = run.service;
+    const std::uint16_t status = run.status;
+    std::string body = kind == ItemOutcomeKind::Failed && !end.message.empty()
+        ? end.message
+        : std::move(run.body);
+    release(id);
+    if (kind == ItemOutcomeKind::NotRun && !draining_ && !cancelled_.contains(item.job)) {
+        queues_[service].waiting.push_front(item);
+        return;
+    }
+    record(item, kind, status, std::move(body));
+}
+
+void Dispatcher::release(std::uint64_t id)
+{
+    const auto position = running_.find(id);
+    const ServerId server = position->second.server;
+    // The exchange is kept until the stack that may be inside it has unwound.
+    const std::unique_ptr<HttpExchange> exchange = std::move(position->second.exchange);
+    running_.erase(position);
+    std::uint32_t &count = inFlight_[server];
+    --count;
+    if (count == 0) {
+        inFlight_.erase(server);
+    }
+    hooks_.inFlightChanged(server, -1);
+}
+
+void Dispatcher::record(const LeasedItem &item, ItemOutcomeKind kind, std::uint16_t status,
+                        std::string body)
+{
+    if (cancelled_.contains(item.job)) {
+        return;
+    }
+    outcomes_.push_back(
+        ItemOutcome{item.job, item.index, item.attempt, kind, status, std::move(body)});
+}
+
+void Dispatcher::flushOutcomes()
+{
+    const MonotonicTime now = clock_.monotonic();
+    if (now < nextFlush_ || !recording_.empty() || outcomes_.empty()) {
+        return;
+    }
+    nextFlush_ = now + options_.completeInterval;
+    recording_ = std::exchange(outcomes_, {});
+    const CompleteItems command{options_.self, recording_, clock_.wall()};
+    hooks_.complete(command, [this](const Outcome<CompleteReply> &reply) {
+        std::vector<ItemOutcome> sent = std::exchange(recording_, {});
+        if (!reply.ok()) {
+            // First writer wins, so recording again what may have been recorded is harmless.
+            outcomes_.insert(outcomes_.begin(), std::make_move_iterator(sent.begin()),
+                             std::make_move_iterator(sent.end()));
+        }
+    });
+}
+
+std::uint32_t Dispatcher::yield(const ServerId &server, std::uint32_t slots)
+{
+    std::vector<std::uint64_t> victims;
+    for (auto position = running_.rbegin(); position != running_.rend(); ++position) {
+        if (victims.size() >= slots) {
+            break;
+        }
+        if (position->second.server != server || !position->second.item.idempotent) {
+            continue;
+        }
+        victims.push_back(position->first);
+    }
+    for (const std::uint64_t id : victims) {
+        Running &run = running_.at(id);
+        queues_[run.service].waiting.push_front(std::move(run.item));
+        release(id);
+    }
+    return static_cast<std::uint32_t>(victims.size());
+}
+
+void Dispatcher::cancelJobs(const std::vector<JobId> &jobs)
+{
+    cancelled_.insert(jobs.begin(), jobs.end());
+    for (auto &[service, queue] : queues_) {
+        std::erase_if(queue.waiting,
+                      [&](const LeasedItem &item) { return cancelled_.contains(item.job); });
+    }
+    std::vector<std::uint64_t> victims;
+    for (const auto &[id, run] : running_) {
+        if (cancelled_.contains(run.item.job)) {
+            victims.push_back(id);
+        }
+    }
+    for (const std::uint64_t id : victims) {
+        release(id);
+    }
+}
+
+void Dispatcher::serverGone(const ServerId &server)
+{
+    std::vector<std::uint64_t> victims;
+    for (const auto &[id, run] : running_) {
+        if (run.server == server) {
+            victims.push_back(id);
+        }
+    }
+    for (const std::uint64_t id : victims) {
+        const LeasedItem item = running_.at(id).item;
+        release(id);
+        record(item, ItemOutcomeKind::Failed, 0, "the backend server was lost");
+    }
+}
+
+void Dispatcher::drain()
+{
+    draining_ = true;
+    for (auto &[service, queue] : queues_) {
+        for (const LeasedItem &item : queue.waiting) {
+            record(item, ItemOutcomeKind::NotRun, 0, {});
+        }
+        queue.waiting.clear();
+    }
+}
+
+std::size_t Dispatcher::held() const
+{
+    std::size_t count = running_.size() + outcomes_.size() + recording_.size();
+    for (const auto &[service, queue] : queues_) {
+        count += queue.waiting.size() + (queue.leasing ? 1 : 0);
+    }
+    return count;
+}
+
+std::uint32_t Dispatcher::inFlight(const ServerId &server) const
+{
+    const auto position = inFlight_.find(server);
+    return position == inFlight_.end() ? 0 : position->second;
+}
+
+} // namespace persimmonlb
--- /dev/null
+++ b/persimmonlb/dispatch/dispatcher.h
@@ -0,0 +1,150 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "persimmonlb/base/clock.h"
+#include "persimmonlb/base/error.h"
+#include "persimmonlb/base/ids.h"
+#include "persimmonlb/dispatch/batchpolicy.h"
+#include "persimmonlb/http/client.h"
+#include "persimmonlb/state/command.h"
+
+namespace persimmonlb
+{
+
+/// A ready backend server whose batch owner is this host.
+struct DispatchServer {
+    ServerId server;
+    std::string address;
+    BatchLoad load;
+
+    bool operator==(const DispatchServer &) const = default;
+};
+
+struct DispatcherOptions {
+    Owner self;
+    std::uint32_t maxInFlightPerServer = 256;
+    std::uint32_t maxLeasePerRequest = 512;
+    std::uint64_t maxResultBytes = 4ULL * 1024 * 1024;
+    Milliseconds itemTimeout{600000}; ///< One attempt, from sending to its whole answer.
+    Milliseconds completeInterval{20}; ///< Outcomes gather this long before they are recorded.
+    Milliseconds refusedServerPause{500}; ///< After a server refused or could not be reached.
+};
+
+struct DispatcherHooks {
+    /// Services with batch work, and the policy of each.
+    std::function<std::vector<ServiceName>()> services;
+    std::function<BatchPolicy(const ServiceName &)> policy;
+    std::function<ServiceKind(const ServiceName &)> kind;
+    std::function<std::vector<DispatchServer>(const ServiceName &)> servers;
+    /// False while this host must not start work (not in force, or draining).
+    std::function<bool()> mayStart;
+    /// True when earlier runs of this body crashed servers.
+    std::function<bool(const std::string &fingerprint)> isConvicted;
+    std::function<void(const LeaseItems &, std::function<void(Outcome<LeaseReply>)>)> lease;
+    std::function<void(const CompleteItems &, std::function<void(Outcome<CompleteReply>)>)>
+        complete;
+    std::function<std::unique_ptr<HttpExchange>(const std::string &address, HttpRequest,
+                                                Milliseconds deadline, HttpExchangeHooks)>
+        send;
+    /// The number of batch items in flight on a server changed by `change`.
+    std::function<void(const ServerId &, int change)> inFlightChanged;
+    /// A server broke connections with these bodies in flight.
+    std::function<void(const ServerId &, const std::vector<std::string> &fingerprints)> serverLost;
+};
+
+/// Sends leased batch items to the servers that this host owns, within the policy's bound, and
+/// records every outcome.
+///
+/// Example:
+///   Dispatcher dispatcher(options, systemClock(), hooks);
+///   dispatcher.tick();                    // each 20 ms
+///   dispatcher.yield(server, 2);          // an online request would wait there
+///
+/// An item that yields waits here again; the lease on it stays. Items that are not idempotent are
+/// sent at most once per lease and never yield. Not thread-safe; must outlive the exchanges it
+/// started.
+class Dispatcher
+{
+public:
+    Dispatcher(DispatcherOptions options, Clock clock, DispatcherHooks hooks);
+    Dispatcher(const Dispatcher &) = delete;
+    Dispatcher &operator=(const Dispatcher &) = delete;
+    ~Dispatcher();
+
+    void tick();
+
+    /// Batch items of these services wait to be leased.
+    void noteWork(const std::vector<ServiceName> &services);
+
+    /// Cancels up to `slots` idempotent items on a server, the newest first. Returns how many.
+    std::uint32_t yield(const ServerId &server, std::uint32_t slots);
+
+    /// Drops waiting items of these jobs and cancels running ones.
+    void cancelJobs(const std::vector<JobId> &jobs);
+
+    /// Cancels what runs on a server that is gone; the attempts count as failed.
+    void serverGone(const ServerId &server);
+
+    /// Gives waiting items back and starts nothing new.
+    void drain();
+
+    /// Items running, waiting or not yet recorded.
+    [[nodiscard]] std::size_t held() const;
+    [[nodiscard]] std::uint32_t inFlight(const ServerId &server) const;
+
+private:
+    struct Running {
+        LeasedItem item;
+        ServiceName service;
+        ServerId server;
+        std::string fingerprint;
+        std::uint16_t status = 0;
+        bool refusedNotRun = false;
+        bool tooLarge = false;
+        std::string body;
+        std::unique_ptr<HttpExchange> exchange;
+    };
+    struct ServiceQueue {
+        std::deque<LeasedItem> waiting;
+        bool leasing = false;
+        bool moreWaits = false;
+        std::uint64_t sequence = 0;
+    };
+
+    void startWaiting(const ServiceName &service, ServiceQueue &queue);
+    [[nodiscard]] std::uint32_t freeSlots(const DispatchServer &server,
+                                          const BatchPolicy &policy) const;
+    void leaseMore(const ServiceName &service, ServiceQueue &queue, std::uint32_t wanted);
+    void takeLease(const ServiceName &service, const Outcome<LeaseReply> &reply);
+    void startItem(const ServiceName &service, const DispatchServer &server, LeasedItem item);
+    void end(std::uint64_t id, const HttpExchangeEnd &end);
+    void release(std::uint64_t id);
+    void record(const LeasedItem &item, ItemOutcomeKind kind, std::uint16_t status,
+                std::string body);
+    void flushOutcomes();
+    [[nodiscard]] static ItemOutcomeKind classify(const Running &run, const HttpExchangeEnd &end);
+
+    DispatcherOptions options_;
+    Clock clock_;
+    DispatcherHooks hooks_;
+    std::map<ServiceName, ServiceQueue> queues_;
+    std::map<std::uint64_t, Running> running_;
+    std::map<ServerId, std::uint32_t> inFlight_;
+    std::map<ServerId, MonotonicTime> pausedUntil_;
+    std::set<JobId> cancelled_;
+    std::vector<ItemOutcome> outcomes_;
+    std::vector<ItemOutcome> recording_;
+    MonotonicTime nextFlush_;
+    std::uint64_t nextRun_ = 1;
+    bool draining_ = false;
+};
+
+} // namespace persimmonlb
--- a/persimmonlb/wire/message.h
+++ b/persimmonlb/wire/message.h
@@ -161,6 +161,7 @@
     std::uint64_t entryStateVersion = 0;
     bool draining = false; ///< An operator asked this host to drain.
     std::uint64_t hostsVersion = 0;
+    std::vector<ServiceName> pendingServices; ///< Services with batch items that wait.
     bool hasHosts = false; ///< `hosts` is filled: the list changed, or was asked for.
     std::vector<EntryHostInfo> hosts;
 
