--- a/persimmonlb/control/leasekeeper.cpp
+++ b/persimmonlb/control/leasekeeper.cpp
@@ -98,6 +98,7 @@
     target_ = from;
     lastGrant_ = clock_.monotonic();
     takeHosts(grant);
+    hooks_.workWaits(grant.pendingServices);
     if (grant.draining != drainRequested_) {
         drainRequested_ = grant.draining;
         hooks_.drainRequested(grant.draining);
--- a/persimmonlb/control/leasekeeper.h
+++ b/persimmonlb/control/leasekeeper.h
@@ -37,6 +37,8 @@
     std::function<void(const EntryStateAnswer &)> entryStateChanged;
     /// The list of entry hosts changed.
     std::function<void(const std::vector<EntryHostInfo> &)> hostsChanged;
+    /// Batch items of these services wait to be leased.
+    std::function<void(const std::vector<ServiceName> &)> workWaits;
     /// An operator asked this host to drain or took that back.
     std::function<void(bool draining)> drainRequested;
 };
--- a/persimmonlb/control/leasetable.cpp
+++ b/persimmonlb/control/leasetable.cpp
@@ -51,6 +51,7 @@
                      .entryStateVersion = inForce.entryStateVersion,
                      .draining = inForce.draining.contains(from),
                      .hostsVersion = hostsVersion_,
+                     .pendingServices = inForce.pendingServices,
                      .hasHosts = false,
                      .hosts = {}};
     const auto known = rows_.find(from);
@@ -79,22 +80,21 @@
     grant.hostsVersion = hostsVersion_;
     if (request.wantHosts || request.hostsVersion != hostsVersion_) {
         grant.hasHosts = true;
-        grant.hosts = hosts();
+        grant.hosts = hosts(inForce.registered);
     }
     return grant;
 }
 
-std::uint64_t LeaseTable::leaseLeftMs(const Row &row) const
+std::uint64_t LeaseTable::msUntil(MonotonicTime end) const
 {
     const MonotonicTime now = clock_.monotonic();
-    if (row.leaseEnd <= now) {
+    if (end <= now) {
         return 0;
     }
-    const auto left = std::chrono::ceil<Milliseconds>(row.leaseEnd - now);
-    return static_cast<std::uint64_t>(left.count());
+    return static_cast<std::uint64_t>(std::chrono::ceil<Milliseconds>(end - now).count());
 }
 
-std::vector<EntryHostInfo> LeaseTable::hosts() const
+std::vector<EntryHostInfo> LeaseTable::hosts(const std::vector<EntryHostInfo> &registered) const
 {
     std::vector<EntryHostInfo> result;
     for (const auto &[host, row] : rows_) {
@@ -102,7 +102,19 @@
             continue;
         }
         EntryHostInfo info = row.info;
-        info.leaseLeftMs = leaseLeftMs(row);
+        info.leaseLeftMs = msUntil(row.leaseEnd);
+        result.push_back(std::move(info));
+    }
+    const std::uint64_t earlierLeaseLeftMs
+        = msUntil(began_ + options_.lease + options_.clockMargin);
+    for (const EntryHostInfo &known : registered) {
+        if (earlierLeaseLeftMs == 0 || rows_.contains(known.host)) {
+            continue;
+        }
+        EntryHostInfo info = known;
+        info.sheetNumber = 0;
+        info.entryStateVersion = 0;
+        info.leaseLeftMs = earlierLeaseLeftMs;
         result.push_back(std::move(info));
     }
     return result;
--- a/persimmonlb/control/leasetable.h
+++ b/persimmonlb/control/leasetable.h
@@ -24,6 +24,8 @@
     std::uint64_t sheetNumber = 0;
     std::uint64_t entryStateVersion = 0;
     std::set<HostId> draining;
+    std::vector<EntryHostInfo> registered; ///< Every registered start of an entry host.
+    std::vector<ServiceName> pendingServices; ///< Services with batch items that wait.
 
     bool operator==(const InForce &) const = default;
 };
@@ -41,8 +43,10 @@
     /// Grants or refuses (leaseMs 0: an older incarnation than one known).
     LeaseGrant renew(const HostId &from, const LeaseRequest &request, const InForce &inForce);
 
-    /// Hosts that hold a lease or may hold one, and those that lapsed since this leader began.
-    [[nodiscard]] std::vector<EntryHostInfo> hosts() const;
+    /// Hosts that hold a lease, those that may still hold one from an earlier leader (with versions
+    /// 0), and those that lapsed since this leader began (with no lease left).
+    [[nodiscard]] std::vector<EntryHostInfo>
+    hosts(const std::vector<EntryHostInfo> &registered) const;
 
     /// Of `known`, the owners whose lease has run out for certain.
     [[nodiscard]] std::vector<Owner> lapsed(const std::vector<Owner> &known) const;
@@ -54,7 +58,7 @@
         bool stopped = false;
     };
 
-    [[nodiscard]] std::uint64_t leaseLeftMs(const Row &row) const;
+    [[nodiscard]] std::uint64_t msUntil(MonotonicTime end) const;
 
     LeaseTableOptions options_;
     Clock clock_;
