--- a/persimmonlb/control/leasekeeper.cpp
+++ b/persimmonlb/control/leasekeeper.cpp
@@ -97,6 +97,7 @@
     }
     target_ = from;
     lastGrant_ = clock_.monotonic();
+    withdrawalKnown_ = withdrawalKnown_ || (draining_ && grant.sequence >= drainSequence_);
     takeHosts(grant);
     hooks_.workWaits(grant.pendingServices);
     if (grant.draining != drainRequested_) {
@@ -204,9 +205,16 @@
 void LeaseKeeper::setDraining(bool draining)
 {
     draining_ = draining;
+    drainSequence_ = sequence_ + 1;
+    withdrawalKnown_ = false;
     nextRequest_ = clock_.monotonic();
 }
 
+bool LeaseKeeper::withdrawalKnown() const
+{
+    return draining_ && (withdrawalKnown_ || !inForce());
+}
+
 void LeaseKeeper::announceStopped()
 {
     stopped_ = true;
--- a/persimmonlb/control/leasekeeper.h
+++ b/persimmonlb/control/leasekeeper.h
@@ -67,7 +67,9 @@
 
     /// Tells the leader from the next request on that this host drains.
     void setDraining(bool draining);
-    /// Sends the last word of a planned stop; `done` when the leader has it or after a timeout.
+    /// True once the leader knows that this host drains, or this host's lease has run out.
+    [[nodiscard]] bool withdrawalKnown() const;
+    /// Sends the last word of a planned stop.
     void announceStopped();
     /// True once the leader has confirmed announceStopped().
     [[nodiscard]] bool stopConfirmed() const;
@@ -107,6 +109,8 @@
     std::vector<EntryHostInfo> hosts_;
     std::uint64_t hostsVersion_ = 0;
     bool draining_ = false;
+    std::uint64_t drainSequence_ = 0; ///< First request that said that this host drains.
+    bool withdrawalKnown_ = false;
     bool drainRequested_ = false;
     bool stopped_ = false;
     bool stopConfirmed_ = false;
--- /dev/null
+++ b/persimmonlb/daemon/controlrole.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "persimmonlb/base/clock.h"
+#include "persimmonlb/base/error.h"
+#include "persimmonlb/base/ids.h"
+#include "persimmonlb/daemon/settings.h"
+#include "persimmonlb/wire/message.h"
+
+namespace persimmonlb
+{
+
+struct ControlRoleDeps {
+    Settings settings;
+    Clock clock;
+    RandomSource random;
+    /// Sends to a host, this one included.
+    std::function<bool(const HostId &to, PeerBody body)> send;
+    /// Runs a function on the decision thread. Thread-safe.
+    std::function<void(std::function<void()>)> post;
+    /// The store failed or another fault that only a restart of the role can mend.
+    std::function<void(const std::string &why)> failed;
+};
+
+/// The role `control`: durable store, replicated log, the state behind it and the service to entry
+/// hosts. Used on the decision thread.
+class ControlRole
+{
+public:
+    explicit ControlRole(ControlRoleDeps deps);
+    ControlRole(const ControlRole &) = delete;
+    ControlRole &operator=(const ControlRole &) = delete;
+    ~ControlRole();
+
+    /// Opens the data folder and takes part in the group. Errors: DataFolderUnusable, CorruptStore.
+    Result<void> start();
+    void stop();
+
+    /// Call each 20 ms.
+    void tick();
+    void receive(const HostId &from, const PeerBody &body);
+
+    /// Errors: GroupAlreadyInitialised, MalformedRequest.
+    Outcome<Done> initGroup(const std::vector<HostId> &members);
+    void replaceMember(const HostId &lost, const HostId &fresh,
+                       std::function<void(Outcome<Done>)> done);
+    /// Role, term, leader, positions and members as JSON.
+    [[nodiscard]] std::string statusJson() const;
+    [[nodiscard]] bool isLeader() const;
+
+private:
+    struct Parts;
+
+    ControlRoleDeps deps_;
+    std::unique_ptr<Parts> parts_;
+};
+
+} // namespace persimmonlb
--- a/persimmonlb/dispatch/dispatcher.cpp
+++ b/persimmonlb/dispatch/dispatcher.cpp
@@ -325,9 +325,12 @@
     }
 }
 
-void Dispatcher::drain()
+void Dispatcher::setDraining(bool draining)
 {
-    draining_ = true;
+    draining_ = draining;
+    if (!draining_) {
+        return;
+    }
     for (auto &[service, queue] : queues_) {
         for (const LeasedItem &item : queue.waiting) {
             record(item, ItemOutcomeKind::NotRun, 0, {});
--- a/persimmonlb/dispatch/dispatcher.h
+++ b/persimmonlb/dispatch/dispatcher.h
@@ -93,8 +93,8 @@
     /// Cancels what runs on a server that is gone; the attempts count as failed.
     void serverGone(const ServerId &server);
 
-    /// Gives waiting items back and starts nothing new.
-    void drain();
+    /// While draining, gives waiting items back and starts nothing new.
+    void setDraining(bool draining);
 
     /// Items running, waiting or not yet recorded.
     [[nodiscard]] std::size_t held() const;
--- a/persimmonlb/dispatch/dispatcher_test.cpp
+++ b/persimmonlb/dispatch/dispatcher_test.cpp
@@ -311,7 +311,7 @@
     Bench bench;
     bench.capacity = 1;
     bench.give({makeItem("j", 0), makeItem("j", 1)});
-    bench.dispatcher.drain();
+    bench.dispatcher.setDraining(true);
     bench.tick();
     BOOST_TEST(*bench.sent[0].alive);
     const auto recorded = bench.recorded();
