Headers of membership, routing and serving

Contract additions in wire/message.h: ServerDigest.echo (dates second-hand announcements without synchronised clocks), ServerDigestRow.firstHand, ServerDigest.demand (quota shares).

--- /dev/null
+++ b/persimmonlb/routing/router.h
@@ -0,0 +1,166 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <list>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "persimmonlb/base/clock.h"
+#include "persimmonlb/base/error.h"
+#include "persimmonlb/base/ids.h"
+#include "persimmonlb/membership/servertable.h"
+#include "persimmonlb/routing/concurrencylimit.h"
+#include "persimmonlb/routing/policy.h"
+
+namespace persimmonlb
+{
+
+struct RouterOptions {
+    std::uint32_t maxQueuePerService = 256;
+    Milliseconds ejection{2000}; ///< A server that just failed gets no work for this long.
+    Milliseconds peakWindow{10000}; ///< onlinePeak() looks back this far.
+    ConcurrencyOptions concurrency;
+};
+
+/// What a request needs of a backend server.
+struct RouteQuery {
+    ServiceName service;
+    ModelName model; ///< Of the sheet in force; empty: any (plain services).
+    std::string version; ///< Of the sheet in force; empty: any.
+    std::uint64_t prefixHash = 0; ///< Of the prompt's beginning.
+    std::vector<ServerId> exclude; ///< Tried already; never chosen again.
+    bool suspect = false; ///< Only servers that run no other suspect of this host.
+    MonotonicTime deadline; ///< Until when the answer must be whole.
+
+    bool operator==(const RouteQuery &) const = default;
+};
+
+/// A chosen server. Its place is counted as in flight until Router::finished().
+struct Choice {
+    ServerId server;
+    std::string address;
+    std::uint64_t incarnation = 0;
+    std::uint64_t ticket = 0;
+
+    bool operator==(const Choice &) const = default;
+};
+
+/// How an exchange with a chosen server ended, for the router.
+enum class RouteEnd : std::uint8_t {
+    Succeeded,
+    Refused, ///< 429 or 503 before admission.
+    ServerError, ///< Another 5xx.
+    ConnectFailed,
+    Lost, ///< The connection broke before or during the answer.
+    Abandoned, ///< Cancelled by the caller or its deadline; says nothing of the server.
+};
+
+struct RouterHooks {
+    /// The choosing policy; affinityPolicy() when empty.
+    RoutingPolicy policy;
+    /// An online request will wait for this server, which runs batch work.
+    std::function<void(const ServerId &server, std::uint32_t slots)> wantYield;
+};
+
+/// Chooses a backend server for each request, within a bound of requests in flight per server, and
+/// queues for a short time what finds no room.
+///
+/// Example:
+///   const std::uint64_t waiter = router.acquire(query, [&](Outcome<Choice> choice) { ... });
+///   router.finished(choice, RouteEnd::Succeeded);
+///
+/// A request that cannot be answered before its deadline is refused at once (Overloaded, not run,
+/// with a retry time), and one for which no server is ready too (NoBackendServer). Not thread-safe;
+/// `done` may be called before acquire() returns.
+class Router
+{
+public:
+    using Acquired = std::function<void(Outcome<Choice>)>;
+
+    Router(RouterOptions options, Clock clock, RandomSource random, ServerTable &table,
+           RouterHooks hooks);
+
+    /// Chooses now, or fails with Overloaded or NoBackendServer.
+    Outcome<Choice> choose(const RouteQuery &query);
+
+    /// Chooses now or as soon as there is room. Returns a waiter for cancel(), 0 when `done` was
+    /// called already.
+    std::uint64_t acquire(const RouteQuery &query, Acquired done);
+    /// Drops a waiter; its `done` is not called.
+    void cancel(std::uint64_t waiter);
+
+    /// Gives the place back and learns from the end.
+    void finished(const Choice &choice, RouteEnd end);
+    /// The first byte of the answer came: the basis of the adaptive bound.
+    void firstByte(const Choice &choice);
+
+    /// Serves and expires waiters. Call each 20 ms, and after table changes.
+    void tick();
+
+    /// Batch work of this host started (+1) or ended (-1) on a server.
+    void batchChanged(const ServerId &server, int change);
+
+    /// Requests that the server runs at once without harm to latency.
+    [[nodiscard]] std::uint32_t capacity(const ServerId &server) const;
+    /// Online requests in flight on the server, of every entry host as far as known.
+    [[nodiscard]] std::uint32_t onlineInFlight(const ServerId &server) const;
+    /// The highest onlineInFlight() within the peak window.
+    [[nodiscard]] std::uint32_t onlinePeak(const ServerId &server) const;
+    /// True while the server is ejected after a failure.
+    [[nodiscard]] bool ejected(const ServerId &server) const;
+    /// Online requests that wait for a server.
+    [[nodiscard]] std::size_t queued() const;
+
+private:
+    struct Ticket {
+        ServerId server;
+        bool suspect = false;
+        MonotonicTime startedAt;
+        bool answered = false;
+    };
+    struct PeakSample {
+        MonotonicTime at;
+        std::uint32_t value = 0;
+    };
+    struct ServerNotes {
+        std::unique_ptr<ConcurrencyLimit> limit;
+        std::uint64_t incarnation = 0;
+        MonotonicTime ejectedUntil;
+        std::uint32_t suspects = 0;
+        std::list<PeakSample> peak;
+    };
+    struct Waiter {
+        std::uint64_t id = 0;
+        RouteQuery query;
+        Acquired done;
+    };
+
+    [[nodiscard]] std::vector<Candidate> candidates(const RouteQuery &query) const;
+    [[nodiscard]] Candidate describe(const KnownServer &server) const;
+    [[nodiscard]] bool hasRoom(const Candidate &candidate) const;
+    Choice take(const RouteQuery &query, const KnownServer &server);
+    ServerNotes &notes(const ServerId &server);
+    void notePeak(const ServerId &server);
+    void serveWaiters(const ServiceName &service);
+    [[nodiscard]] Milliseconds expectedWait(const RouteQuery &query,
+                                            const std::vector<Candidate> &candidates) const;
+    void askForYield(const std::vector<Candidate> &candidates);
+    Error overloaded(Milliseconds retryAfter) const;
+
+    RouterOptions options_;
+    Clock clock_;
+    RandomSource random_;
+    ServerTable &table_;
+    RouterHooks hooks_;
+    std::map<ServerId, ServerNotes> notes_;
+    std::map<std::uint64_t, Ticket> tickets_;
+    std::map<ServiceName, std::list<Waiter>> waiting_;
+    std::map<ServiceName, double> serviceMs_; ///< Recent mean time that a request holds its place.
+    std::uint64_t nextTicket_ = 1;
+    std::uint64_t nextWaiter_ = 1;
+};
+
+} // namespace persimmonlb
--- /dev/null
+++ b/persimmonlb/serving/onlineservice.h
@@ -0,0 +1,109 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "persimmonlb/base/clock.h"
+#include "persimmonlb/base/error.h"
+#include "persimmonlb/base/ids.h"
+#include "persimmonlb/http/client.h"
+#include "persimmonlb/http/message.h"
+#include "persimmonlb/http/server.h"
+#include "persimmonlb/membership/servertable.h"
+#include "persimmonlb/routing/quota.h"
+#include "persimmonlb/routing/retrybudget.h"
+#include "persimmonlb/routing/router.h"
+#include "persimmonlb/routing/suspects.h"
+#include "persimmonlb/sheet/sheet.h"
+#include "persimmonlb/state/command.h"
+
+namespace persimmonlb
+{
+
+struct OnlineOptions {
+    Owner self;
+    Milliseconds claimPollInterval{200}; ///< While a resend waits for the first request's outcome.
+    std::uint32_t maxResumes = 2; ///< Of one broken stream.
+    std::uint32_t maxAttempts = 3; ///< Of one idempotent request.
+    std::uint64_t maxRecordedAnswerBytes = 4ULL * 1024 * 1024;
+    Milliseconds defaultRetryAfter{500};
+    /// Bytes that may wait for a slow caller before the server's answer is paused.
+    std::uint64_t maxUnwrittenBytes = 256ULL * 1024;
+    std::uint32_t prefixBytes = 512; ///< Of the prompt, for affinity.
+};
+
+/// One ended request, for metrics and logs.
+struct RequestEnd {
+    ServiceName service;
+    CallerName caller;
+    std::string requestId;
+    ServerId server; ///< The last one that was tried.
+    ResultCode code = ResultCode::Ok;
+    std::uint16_t status = 0;
+    Milliseconds total{0};
+    Milliseconds toFirstByte{0};
+    std::uint32_t attempts = 0;
+    std::uint32_t resumes = 0;
+
+    bool operator==(const RequestEnd &) const = default;
+};
+
+struct OnlineHooks {
+    /// Calls `fn` once after `delay`, on the decision thread.
+    std::function<void(Milliseconds delay, std::function<void()> fn)> after;
+    std::function<std::unique_ptr<HttpExchange>(const std::string &address, HttpRequest request,
+                                                Milliseconds deadline, HttpExchangeHooks hooks)>
+        sendToServer;
+    std::function<void(const Command &, std::function<void(Outcome<Reply>)>)> propose;
+    std::function<std::shared_ptr<const Sheet>()> sheet;
+    /// Why no new request may start here now: NotInForce or Draining.
+    std::function<std::optional<Error>()> admission;
+    /// A refusal, for the audit trail.
+    std::function<void(const CallerName &, const ServiceName &, const Error &)> recordRefusal;
+    /// Addresses of other entry hosts, named in refusals of a host that is draining or not in
+    /// force.
+    std::function<std::vector<std::string>()> otherHosts;
+    std::function<void(const RequestEnd &)> ended;
+};
+
+/// Serves callers' online and plain requests: checks, claim, choice of server, proxying, retry,
+/// resuming of streams, and an answer that is whole or says that it is not.
+///
+/// Example:
+///   OnlineService service(options, clock, random, table, router, quota, suspects, hooks);
+///   service.handleChat(std::move(request), responder);   // POST /v1/chat/completions
+///   service.handlePlain(std::move(request), responder);  // ANY /services/NAME/PATH
+///
+/// Not thread-safe; must outlive the exchanges and timers that it started.
+class OnlineService
+{
+public:
+    OnlineService(OnlineOptions options, Clock clock, RandomSource random, Router &router,
+                  QuotaGate &quota, Suspects &suspects, OnlineHooks hooks);
+    OnlineService(const OnlineService &) = delete;
+    OnlineService &operator=(const OnlineService &) = delete;
+    ~OnlineService();
+
+    void handleChat(HttpRequest request, std::shared_ptr<HttpResponder> responder);
+    void handlePlain(HttpRequest request, std::shared_ptr<HttpResponder> responder);
+
+    /// Requests whose answer has not ended.
+    [[nodiscard]] std::size_t openRequests() const;
+
+    /// A server was lost by silence: its exchanges are ended as broken.
+    void serverLost(const ServerId &server);
+
+private:
+    struct State;
+    std::unique_ptr<State> state_;
+};
+
+/// The JSON error body of INTERFACE.md, with status and Retry-After.
+HttpResponse errorResponse(const Error &error, const std::vector<std::string> &otherHosts = {});
+
+} // namespace persimmonlb
--- a/persimmonlb/wire/message.h
+++ b/persimmonlb/wire/message.h
@@ -174,13 +174,25 @@
     std::uint32_t ageMs = 0; ///< Since the announcement was heard first-hand.
     std::uint32_t onlineInFlight = 0;
     std::uint32_t batchInFlight = 0;
+    bool firstHand = true; ///< The server announces to the sender; else the row tells its load.
 
     bool operator==(const ServerDigestRow &) const = default;
 };
 
+/// Requests of one caller that one entry host saw, smoothed; for splitting quotas.
+struct CallerDemand {
+    CallerName caller;
+    double perSecond = 0;
+
+    bool operator==(const CallerDemand &) const = default;
+};
+
 struct ServerDigest {
     std::uint64_t sequence = 0;
+    /// The newest digest sequence that the sender has from the receiver; dates the rows.
+    std::uint64_t echo = 0;
     std::vector<ServerDigestRow> rows;
+    std::vector<CallerDemand> demand;
 
     bool operator==(const ServerDigest &) const = default;
 };
