Agreement and store: public headers

AppendReply gains the sender's disk id (addition to the wire contract): a leader counts a member only with the disk that the group knows, so a host that comes back with an empty folder under its old name neither votes nor counts.

--- a/persimmonlb/wire/message.h
+++ b/persimmonlb/wire/message.h
@@ -65,6 +65,7 @@
     std::uint64_t matchIndex = 0; ///< Highest index synced here that agrees with the leader.
     std::uint64_t hintIndex = 0; ///< After a mismatch: where to try next.
     std::uint64_t round = 0;
+    std::uint64_t disk = 0; ///< LogStore::diskId of the sender.
 
     bool operator==(const AppendReply &) const = default;
 };
