--- a/persimmonlb/daemon/entryrole.h
+++ b/persimmonlb/daemon/entryrole.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -12,10 +11,10 @@
 #include "persimmonlb/base/error.h"
 #include "persimmonlb/base/ids.h"
 #include "persimmonlb/base/metrics.h"
-#include "persimmonlb/control/controlclient.h"
+#include "persimmonlb/control/leasekeeper.h"
 #include "persimmonlb/daemon/settings.h"
 #include "persimmonlb/daemon/timers.h"
-#include "persimmonlb/http/message.h"
+#include "persimmonlb/http/client.h"
 #include "persimmonlb/http/server.h"
 #include "persimmonlb/state/command.h"
 #include "persimmonlb/wire/message.h"
@@ -42,7 +41,7 @@
     std::string meshAddress;
     Clock clock;
     RandomSource random;
-    /// Sends to a host, this one included.
+    /// Sends to a host, this one included; false when it surely was not sent.
     std::function<bool(const HostId &to, PeerBody body)> send;
     /// Peers that are connected now.
     std::function<std::vector<HostId>()> connectedPeers;
@@ -66,14 +65,15 @@
     Result<void> startListener();
     void stopListener();
 
-    /// Periodic work of the parts that the supervisor guards one by one.
+    /// Periodic work of the parts, which the supervisor guards one by one. Call each 20 ms.
     void tickMembership();
     void tickRouter();
     void tickDispatcher();
     void tickAudit();
 
     void receive(const HostId &from, const PeerBody &body);
-    void peerLost(const HostId &peer);
+    /// The connection to a peer was made anew or lost.
+    void peerChanged(const HostId &peer);
 
     /// Starts the planned stop.
     void beginDrain();
