--- a/persimmonlb/base/resultcode.h
+++ b/persimmonlb/base/resultcode.h
@@ -56,6 +56,7 @@
     StreamBroken = 404,
     Cancelled = 405,
     AttemptsExhausted = 406,
+    ItemRejected = 407,
     SheetMalformed = 501,
     SheetNumberTooOld = 502,
     SheetNumberTaken = 503,
--- a/persimmonlb/state/query.h
+++ b/persimmonlb/state/query.h
@@ -111,6 +111,8 @@
 
 struct AuditAnswer {
     std::vector<AuditRecord> records;
+    std::uint64_t nextAfter = 0; ///< afterSequence to go on with.
+    bool more = false; ///< Records after nextAfter were not examined.
 
     bool operator==(const AuditAnswer &) const = default;
 };
