--- /dev/null
+++ b/persimmonlb/ctl/internal/jsontext.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+#include <nlohmann/json_fwd.hpp>
+
+namespace persimmonlb
+{
+
+/// An object; empty when `body` holds none.
+nlohmann::json parseObject(const std::string &body);
+
+/// Field `key` as text: a string bare, "yes"/"no" for a boolean, "" when missing.
+std::string textOf(const nlohmann::json &object, const char *key);
+
+/// Field `key` as a number; 0 when missing.
+std::int64_t numberOf(const nlohmann::json &object, const char *key);
+
+/// Field `key` as an array; empty when missing.
+const nlohmann::json &arrayOf(const nlohmann::json &object, const char *key);
+
+} // namespace persimmonlb
