--- a/persimmonlb/base/logline.cpp
+++ b/persimmonlb/base/logline.cpp
@@ -1,6 +1,7 @@
 #include "persimmonlb/base/logline.h"
 
 #include <array>
+#include <atomic>
 
 #include <easylogging++.h>
 
@@ -12,6 +13,8 @@
 namespace
 {
 
+std::atomic<bool> started = false;
+
 constexpr std::array<std::string_view, 4> levelNames = {"debug", "info", "warning", "error"};
 
 bool needsQuotes(std::string_view value)
@@ -96,6 +99,9 @@
 
 void LogLine::write() const
 {
+    if (!started) {
+        return;
+    }
     el::base::Writer(toLibraryLevel(level_), __FILE__, __LINE__, __func__)
             .construct(1, el::base::consts::kDefaultLoggerId)
         << text_;
@@ -115,6 +121,7 @@
         configuration.set(toLibraryLevel(level), el::ConfigurationType::Enabled, enabled);
     }
     el::Loggers::reconfigureAllLoggers(configuration);
+    started = true;
 }
 
 } // namespace persimmonlb
--- a/persimmonlb/base/logline.h
+++ b/persimmonlb/base/logline.h
@@ -27,7 +27,7 @@
     /// The pairs without the time.
     [[nodiscard]] const std::string &text() const;
 
-    /// Writes the line through easylogging++.
+    /// Writes the line through easylogging++; does nothing before startLogging().
     void write() const;
 
 private:
