--- a/persimmonlb/agreement/options.h
+++ b/persimmonlb/agreement/options.h
@@ -30,7 +30,7 @@
 struct AgreementLimits {
     std::size_t maxEntriesPerAppend = 512;
     std::uint64_t maxBytesPerAppend = 1024ULL * 1024;
-    std::size_t maxAppendsInFlight = 64; ///< Per follower.
+    std::size_t maxAppendsInFlight = 16; ///< Per follower.
     std::size_t maxQueuedProposals = 20000;
     std::uint64_t maxBytesPerSnapshotChunk = 1024ULL * 1024;
     /// The log is compacted when this many applied entries lie before the retained ones.
