--- a/persimmonlb/http/client.h
+++ b/persimmonlb/http/client.h
@@ -47,7 +47,8 @@
     HttpExchange &operator=(const HttpExchange &) = delete;
     virtual ~HttpExchange() = default;
 
-    /// Stops reading until resume(), for back-pressure.
+    /// Stops reading until resume(), for back-pressure. What was read already may still be
+    /// delivered.
     virtual void pause() = 0;
     virtual void resume() = 0;
 };
@@ -56,10 +57,17 @@
     Milliseconds connectTimeout{1000};
     Milliseconds idleConnectionTimeout{30000};
     std::uint32_t maxIdlePerServer = 32;
+    std::uint32_t maxHeaderBytes = 64 * 1024; ///< Of an answer.
+    std::uint64_t maxBodyBytes = 1024ULL * 1024 * 1024; ///< Of an answer.
 };
 
 /// HTTP/1.1 client with a pool of kept-alive connections per address. A pooled connection that
 /// turns out closed before any answer byte counts as Sent: this module never resends by itself.
+/// An answer without length and chunks is never Ok, because its end looks like a cut.
+///
+/// Request fields that frame a message or belong to one connection (Content-Length, Connection,
+/// Transfer-Encoding, ...) are left out and written anew. The io_context must outlive the client
+/// and its exchanges.
 class HttpClient
 {
 public:
--- a/persimmonlb/http/server.h
+++ b/persimmonlb/http/server.h
@@ -43,7 +43,12 @@
     Milliseconds headerTimeout{10000}; ///< To receive a whole header section.
     Milliseconds bodyTimeout{60000}; ///< To receive a whole body.
     Milliseconds idleTimeout{60000}; ///< Between requests of a connection.
-    std::uint32_t maxConnections = 20000;
+    Milliseconds writeTimeout{60000}; ///< For the caller to take some bytes of an answer.
+    Milliseconds lingerTimeout{1000}; ///< For the caller to close after the last answer.
+    std::uint32_t maxConnections = 20000; ///< More are answered with code 301 and closed.
+    /// The answer that an idle connection gets before closeIdleConnections() closes it; without
+    /// a hook: code 305 without other hosts. Nothing that arrives after it is ever run.
+    std::function<HttpResponse()> farewell;
 };
 
 using HttpHandler
@@ -66,12 +71,17 @@
     virtual ~HttpServer() = default;
 
     [[nodiscard]] virtual std::uint16_t port() const = 0;
-    /// From now on each answer carries "Connection: close"; idle connections are closed.
+    /// From now on each answer carries "Connection: close"; idle connections are closed. One on
+    /// which a byte of a request has arrived is not idle: the request is answered first. An idle
+    /// one gets the farewell answer, so that a request that crosses it on the wire is told that
+    /// it was not run.
     virtual void closeIdleConnections() = 0;
     /// Stops accepting.
     virtual void stopListening() = 0;
     /// Requests whose answer has not ended.
     [[nodiscard]] virtual std::size_t openRequests() const = 0;
+    /// Connections that are open, those that are closing included.
+    [[nodiscard]] virtual std::size_t openConnections() const = 0;
 };
 
 } // namespace persimmonlb
