--- a/persimmonlb/testing/answercheck.cpp
+++ b/persimmonlb/testing/answercheck.cpp
@@ -113,8 +113,7 @@
     return reason_;
 }
 
-AnswerVerdict checkWholeAnswer(std::string_view body, std::uint64_t answerKey,
-                               std::uint32_t tokens)
+AnswerVerdict checkWholeAnswer(std::string_view body, std::uint64_t answerKey, std::uint32_t tokens)
 {
     const Json json = Json::parse(body, nullptr, false);
     const Json text = at(json, "/choices/0/message/content");
--- a/persimmonlb/testing/connection.cpp
+++ b/persimmonlb/testing/connection.cpp
@@ -11,7 +11,7 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
-#include <boost/beast/http/write.hpp>
+#include <boost/beast/http/status.hpp>
 
 namespace persimmonlb
 {
@@ -23,7 +23,6 @@
 {
 
 constexpr std::uint64_t maxBodyBytes = 256ULL * 1024 * 1024;
-constexpr unsigned httpVersion = 11;
 constexpr auto asTuple = asio::as_tuple(asio::use_awaitable);
 
 asio::awaitable<void> serve(std::shared_ptr<Connection> connection, TestHandler handler)
@@ -38,14 +37,13 @@
     }
 }
 
-http::response<http::string_body> makeAnswer(unsigned status, std::string body)
+std::string makeAnswer(unsigned status, const std::string &body, bool keepAlive,
+                       const std::string &headers)
 {
-    http::response<http::string_body> response;
-    response.result(status);
-    response.version(httpVersion);
-    response.set(http::field::content_type, "application/json");
-    response.body() = std::move(body);
-    return response;
+    const auto reason = http::obsolete_reason(http::int_to_status(status));
+    return "HTTP/1.1 " + std::to_string(status) + ' ' + std::string(reason)
+        + "\r\nContent-Type: application/json\r\nContent-Length: " + std::to_string(body.size())
+        + "\r\n" + headers + (keepAlive ? "" : "Connection: close\r\n") + "\r\n" + body;
 }
 
 } // namespace
@@ -72,22 +70,12 @@
 
 asio::awaitable<void> Connection::respond(unsigned status, std::string body)
 {
-    co_await writeAnswer(makeAnswer(status, std::move(body)));
+    co_await writeBytes(makeAnswer(status, body, keepAlive_, ""));
 }
 
 asio::awaitable<void> Connection::refuse(unsigned status, std::string body)
 {
-    http::response<http::string_body> response = makeAnswer(status, std::move(body));
-    response.set("Persimmonlb-Not-Run", "true");
-    co_await writeAnswer(std::move(response));
-}
-
-asio::awaitable<void> Connection::writeAnswer(http::response<http::string_body> response)
-{
-    response.keep_alive(keepAlive_);
-    response.prepare_payload();
-    const auto [error, size] = co_await http::async_write(socket_, response, asTuple);
-    broken_ = broken_ || error.failed();
+    co_await writeBytes(makeAnswer(status, body, keepAlive_, "Persimmonlb-Not-Run: true\r\n"));
 }
 
 asio::awaitable<void> Connection::startEvents()
--- a/persimmonlb/testing/fakeengineservice.cpp
+++ b/persimmonlb/testing/fakeengineservice.cpp
@@ -62,6 +62,12 @@
     return json.dump();
 }
 
+asio::awaitable<void> answer(unsigned status, std::string body,
+                             std::shared_ptr<Connection> connection)
+{
+    co_await connection->respond(status, std::move(body));
+}
+
 } // namespace
 
 FakeEngine::FakeEngine(asio::io_context &context, const FakeOptions &options)
@@ -80,20 +86,24 @@
 {
     const std::string target(request.target());
     if (target == "/v1/chat/completions") {
-        co_await chat(std::move(request), connection);
-    } else if (target == "/v1/resume") {
-        co_await resume(std::move(request), connection);
-    } else if (target == "/v1/cancel") {
-        co_await cancel(request, connection);
-    } else if (target == "/v1/orders") {
-        co_await order(request, connection);
-    } else if (target == "/state") {
-        co_await connection->respond(statusOk, state_());
-    } else if (target == "/_runs") {
-        co_await connection->respond(statusOk, counts());
-    } else {
-        co_await connection->respond(statusNotFound, errorBody(ResultCode::NotFound));
+        return chat(std::move(request), std::move(connection));
+    }
+    if (target == "/v1/resume") {
+        return resume(std::move(request), std::move(connection));
+    }
+    if (target == "/v1/cancel") {
+        return cancel(std::move(request), std::move(connection));
+    }
+    if (target == "/v1/orders") {
+        return order(std::move(request), std::move(connection));
+    }
+    if (target == "/state") {
+        return answer(statusOk, state_(), std::move(connection));
+    }
+    if (target == "/_runs") {
+        return answer(statusOk, counts(), std::move(connection));
     }
+    return answer(statusNotFound, errorBody(ResultCode::NotFound), std::move(connection));
 }
 
 asio::awaitable<void> FakeEngine::chat(TestRequest request, std::shared_ptr<Connection> connection)
@@ -212,7 +222,7 @@
     co_return !running->tokens.empty();
 }
 
-asio::awaitable<void> FakeEngine::cancel(const TestRequest &request,
+asio::awaitable<void> FakeEngine::cancel(TestRequest request,
                                          std::shared_ptr<Connection> connection)
 {
     const Json json = Json::parse(request.body(), nullptr, false);
@@ -231,8 +241,7 @@
                                  found ? R"({"cancelled":true})" : R"({"cancelled":false})");
 }
 
-asio::awaitable<void> FakeEngine::order(const TestRequest &request,
-                                        std::shared_ptr<Connection> connection)
+asio::awaitable<void> FakeEngine::order(TestRequest request, std::shared_ptr<Connection> connection)
 {
     const Json json = Json::parse(request.body(), nullptr, false);
     if (!json.is_object() || !json.contains("fencing") || !json["fencing"].is_number_unsigned()) {
--- a/persimmonlb/testing/internal/connection.h
+++ b/persimmonlb/testing/internal/connection.h
@@ -46,8 +46,6 @@
 
 private:
     boost::asio::awaitable<void> writeBytes(std::string bytes);
-    boost::asio::awaitable<void>
-    writeAnswer(boost::beast::http::response<boost::beast::http::string_body> response);
 
     boost::asio::ip::tcp::socket socket_;
     boost::beast::flat_buffer buffer_;
--- a/persimmonlb/testing/internal/fakeservice.h
+++ b/persimmonlb/testing/internal/fakeservice.h
@@ -58,10 +58,9 @@
     boost::asio::awaitable<void> answerWhole(RunningPtr running,
                                              std::shared_ptr<Connection> connection);
     boost::asio::awaitable<bool> waitForToken(RunningPtr running);
-    boost::asio::awaitable<void> cancel(const TestRequest &request,
+    boost::asio::awaitable<void> cancel(TestRequest request,
                                         std::shared_ptr<Connection> connection);
-    boost::asio::awaitable<void> order(const TestRequest &request,
-                                       std::shared_ptr<Connection> connection);
+    boost::asio::awaitable<void> order(TestRequest request, std::shared_ptr<Connection> connection);
 
     [[nodiscard]] bool full() const;
     void obey(const std::string &order);
