--- a/persimmonlb/dispatch/dispatcher_test.cpp
+++ b/persimmonlb/dispatch/dispatcher_test.cpp
@@ -327,6 +327,8 @@
     bench.sent[0].hooks.end({SendState::Sent, ResultCode::BackendFailed, "reset"});
     BOOST_REQUIRE(bench.lostFingerprints.size() == 1U);
     bench.convicted.insert(bench.lostFingerprints[0]);
+    bench.tick();
+    bench.completeAnswers.back()(CompleteReply{1, 0});
     bench.give({makeItem("j", 0)});
     bench.tick();
     BOOST_TEST(bench.sent.size() == 1U);
