Codec of peer messages: CBOR by nlohmann json, one list of fields for both directions

Decoding goes through the library's SAX events, not its DOM: the library's CBOR reader recurses for each level of nesting, so that 16 MB of 0x81 would overflow the stack; the events let us stop at depth 8, and byte strings are moved out. Numbers that are 0 and empty texts are not written; a missing field keeps its default and an unknown one is ignored, so that releases can differ by one.

--- a/persimmonlb/state/command_test.cpp
+++ b/persimmonlb/state/command_test.cpp
@@ -96,7 +96,8 @@
     for (const Command &command : allCommands()) {
         encodings.push_back(encodeCommand(command));
     }
-    encodings.push_back(encodeReply(JobReply{.code = ResultCode::NotFound, .message = "m", .id = {"j1"}}));
+    encodings.push_back(
+        encodeReply(JobReply{.code = ResultCode::NotFound, .message = "m", .id = {"j1"}}));
     encodings.push_back(encodeQuery(ResultsQuery{.id = {"j1"}, .firstIndex = 3, .limit = 10}));
     encodings.push_back(encodeAnswer(ResultsAnswer{.found = true, .items = {ItemResult{}}}));
     return encodings;
--- /dev/null
+++ b/persimmonlb/wire/internal/messagefields.h
@@ -0,0 +1,230 @@
+#pragma once
+
+#include <type_traits>
+
+#include "persimmonlb/wire/message.h"
+
+/// The fields of every message, once for both directions. An archive is a writer, which gets
+/// constant messages, or a reader, which fills them.
+///
+/// Numbers that are 0 and texts and lists that are empty are not written, and a field that is
+/// missing keeps its default, so that fields can be added from one release to the next. Names are
+/// never used anew.
+namespace persimmonlb::internal
+{
+
+/// `Message`, constant for a writer.
+template <typename Archive, typename Message>
+using Fields = std::conditional_t<Archive::isWriter, const Message, Message>;
+
+template <typename Archive>
+void describeFields(Archive &archive, Fields<Archive, VoteRequest> &message)
+{
+    archive.field("t", message.term);
+    archive.field("p", message.preVote);
+    archive.field("i", message.lastLogIndex);
+    archive.field("l", message.lastLogTerm);
+}
+
+template <typename Archive>
+void describeFields(Archive &archive, Fields<Archive, VoteReply> &message)
+{
+    archive.field("t", message.term);
+    archive.field("p", message.preVote);
+    archive.field("g", message.granted);
+}
+
+template <typename Archive>
+void describeFields(Archive &archive, Fields<Archive, AppendRequest> &message)
+{
+    archive.field("t", message.term);
+    archive.field("i", message.previousIndex);
+    archive.field("l", message.previousTerm);
+    archive.field("c", message.commitIndex);
+    archive.field("r", message.round);
+    archive.list("e", message.entries);
+}
+
+/// Four positions without names, because a message may hold thousands.
+template <typename Archive>
+void describePositions(Archive &archive, Fields<Archive, LogEntry> &entry)
+{
+    archive.position(entry.index);
+    archive.position(entry.term);
+    archive.enumPosition(entry.kind, EntryKind::NoOperation);
+    archive.bytesPosition(entry.data);
+}
+
+template <typename Archive>
+void describeFields(Archive &archive, Fields<Archive, AppendReply> &message)
+{
+    archive.field("t", message.term);
+    archive.field("s", message.success);
+    archive.field("m", message.matchIndex);
+    archive.field("h", message.hintIndex);
+    archive.field("r", message.round);
+}
+
+template <typename Archive>
+void describeFields(Archive &archive, Fields<Archive, SnapshotChunk> &message)
+{
+    archive.field("t", message.term);
+    archive.field("i", message.lastIndex);
+    archive.field("l", message.lastTerm);
+    archive.bytes("c", message.configuration);
+    archive.field("n", message.chunk);
+    archive.field("z", message.last);
+    archive.list("p", message.pairs);
+}
+
+template <typename Archive>
+void describePositions(Archive &archive,
+                       Fields<Archive, std::pair<std::string, std::string>> &keyAndValue)
+{
+    archive.bytesPosition(keyAndValue.first);
+    archive.bytesPosition(keyAndValue.second);
+}
+
+template <typename Archive>
+void describeFields(Archive &archive, Fields<Archive, SnapshotReply> &message)
+{
+    archive.field("t", message.term);
+    archive.field("i", message.lastIndex);
+    archive.field("n", message.nextChunk);
+    archive.field("d", message.installed);
+}
+
+template <typename Archive>
+void describeFields(Archive &archive, Fields<Archive, ProposeRequest> &message)
+{
+    archive.field("q", message.requestId);
+    archive.bytes("c", message.command);
+}
+
+template <typename Archive>
+void describeFields(Archive &archive, Fields<Archive, QueryRequest> &message)
+{
+    archive.field("q", message.requestId);
+    archive.bytes("c", message.query);
+}
+
+template <typename Archive>
+void describeFields(Archive &archive, Fields<Archive, ControlReply> &message)
+{
+    archive.field("q", message.requestId);
+    archive.code("r", message.code);
+    archive.field("m", message.message);
+    archive.field("l", message.leader);
+    archive.bytes("p", message.payload);
+}
+
+template <typename Archive>
+void describeFields(Archive &archive, Fields<Archive, LeaseRequest> &message)
+{
+    archive.field("q", message.sequence);
+    archive.field("i", message.incarnation);
+    archive.field("a", message.address);
+    archive.field("z", message.availabilityZone);
+    archive.field("r", message.region);
+    archive.field("n", message.sheetNumber);
+    archive.field("v", message.entryStateVersion);
+    archive.field("hv", message.hostsVersion);
+    archive.field("wh", message.wantHosts);
+    archive.field("ma", message.meshAddress);
+    archive.field("d", message.draining);
+    archive.field("s", message.stopped);
+}
+
+template <typename Archive>
+void describeFields(Archive &archive, Fields<Archive, EntryHostInfo> &info)
+{
+    archive.field("h", info.host);
+    archive.field("a", info.address);
+    archive.field("z", info.availabilityZone);
+    archive.field("r", info.region);
+    archive.field("i", info.incarnation);
+    archive.field("n", info.sheetNumber);
+    archive.field("v", info.entryStateVersion);
+    archive.field("ma", info.meshAddress);
+    archive.field("d", info.draining);
+    archive.field("l", info.leaseLeftMs);
+}
+
+template <typename Archive>
+void describeFields(Archive &archive, Fields<Archive, LeaseGrant> &message)
+{
+    archive.field("q", message.sequence);
+    archive.field("m", message.leaseMs);
+    archive.field("l", message.leader);
+    archive.field("n", message.sheetNumber);
+    archive.field("v", message.entryStateVersion);
+    archive.field("d", message.draining);
+    archive.field("hv", message.hostsVersion);
+    archive.list("ps", message.pendingServices);
+    archive.field("hh", message.hasHosts);
+    archive.list("h", message.hosts);
+}
+
+template <typename Archive>
+void describeFields(Archive &archive, Fields<Archive, ServerLoad> &load)
+{
+    constexpr double wholeCache = 1.0;
+    archive.field("r", load.running);
+    archive.field("q", load.queued);
+    archive.share("k", load.kvFree, wholeCache);
+}
+
+template <typename Archive>
+void describeFields(Archive &archive, Fields<Archive, ServerAnnouncement> &announcement)
+{
+    archive.field("s", announcement.server);
+    archive.field("a", announcement.address);
+    archive.field("z", announcement.availabilityZone);
+    archive.field("v", announcement.service);
+    archive.enumeration("k", announcement.kind, ServerKind::Plain);
+    archive.enumeration("t", announcement.state, ServerState::Leaving);
+    archive.field("m", announcement.model);
+    archive.field("n", announcement.version);
+    archive.list("ad", announcement.adapters);
+    archive.field("r", announcement.role);
+    archive.field("f", announcement.checksFencing);
+    archive.field("c", announcement.slots);
+    archive.structure("l", announcement.load);
+    archive.field("i", announcement.incarnation);
+    archive.field("q", announcement.sequence);
+}
+
+template <typename Archive>
+void describeFields(Archive &archive, Fields<Archive, ServerDigestRow> &row)
+{
+    archive.structure("a", row.announcement);
+    archive.field("g", row.ageMs);
+    archive.field("o", row.onlineInFlight);
+    archive.field("b", row.batchInFlight);
+    archive.field("f", row.firstHand);
+}
+
+template <typename Archive>
+void describeFields(Archive &archive, Fields<Archive, CallerDemand> &demand)
+{
+    archive.field("c", demand.caller);
+    archive.rate("p", demand.perSecond);
+}
+
+template <typename Archive>
+void describeFields(Archive &archive, Fields<Archive, ServerDigest> &message)
+{
+    archive.field("q", message.sequence);
+    archive.field("e", message.echo);
+    archive.list("r", message.rows);
+    archive.list("d", message.demand);
+}
+
+template <typename Archive>
+void describeFields(Archive &archive, Fields<Archive, YieldRequest> &message)
+{
+    archive.field("s", message.server);
+    archive.field("n", message.slots);
+}
+
+} // namespace persimmonlb::internal
--- /dev/null
+++ b/persimmonlb/wire/message.cpp
@@ -0,0 +1,115 @@
+#include "persimmonlb/wire/message.h"
+
+#include <array>
+#include <optional>
+#include <utility>
+
+#include "persimmonlb/wire/internal/cborvalue.h"
+#include "persimmonlb/wire/internal/fieldreader.h"
+#include "persimmonlb/wire/internal/fieldwriter.h"
+
+namespace persimmonlb
+{
+
+namespace
+{
+
+using internal::CborMap;
+using internal::CborValue;
+using internal::FieldReader;
+using internal::FieldWriter;
+
+/// Fields of every message: group, kind of body (its place in PeerBody) and body.
+constexpr const char *groupField = "g";
+constexpr const char *kindField = "m";
+constexpr const char *bodyField = "b";
+
+Error malformed(std::string message)
+{
+    return makeError(ResultCode::MalformedRequest, std::move(message));
+}
+
+template <typename Body>
+Outcome<PeerBody> decodeBody(CborValue &value)
+{
+    Body body;
+    FieldReader reader(value);
+    internal::describeFields(reader, body);
+    if (reader.failed()) {
+        return malformed("peer message: wrong field " + reader.failedField());
+    }
+    return PeerBody(std::move(body));
+}
+
+using BodyDecoder = Outcome<PeerBody> (*)(CborValue &);
+
+template <std::size_t... kinds>
+constexpr auto makeDecoders(std::index_sequence<kinds...>)
+{
+    return std::array<BodyDecoder, sizeof...(kinds)>{
+        &decodeBody<std::variant_alternative_t<kinds, PeerBody>>...};
+}
+
+constexpr auto decoders = makeDecoders(std::make_index_sequence<std::variant_size_v<PeerBody>>());
+
+CborValue *find(CborMap &map, std::string_view name)
+{
+    for (auto &[key, value] : map) {
+        if (key == name) {
+            return &value;
+        }
+    }
+    return nullptr;
+}
+
+std::optional<std::uint64_t> findNumber(CborMap &map, std::string_view name)
+{
+    const CborValue *value = find(map, name);
+    const auto *number = value != nullptr ? std::get_if<std::uint64_t>(&value->data) : nullptr;
+    return number != nullptr ? std::optional(*number) : std::nullopt;
+}
+
+} // namespace
+
+std::string encodeMessage(const PeerMessage &message)
+{
+    nlohmann::json root = nlohmann::json::object();
+    root[groupField] = message.group;
+    root[kindField] = message.body.index();
+    root[bodyField] = std::visit(
+        [](const auto &body) {
+            FieldWriter writer;
+            internal::describeFields(writer, body);
+            return writer.take();
+        },
+        message.body);
+    std::string bytes;
+    nlohmann::json::to_cbor(root, bytes);
+    return bytes;
+}
+
+Outcome<PeerMessage> decodeMessage(std::string_view bytes)
+{
+    std::optional<CborValue> root = internal::parseCbor(bytes);
+    auto *map = root ? std::get_if<CborMap>(&root->data) : nullptr;
+    if (map == nullptr) {
+        return malformed("peer message: not a CBOR map");
+    }
+    const std::optional<std::uint64_t> group = findNumber(*map, groupField);
+    const std::optional<std::uint64_t> kind = findNumber(*map, kindField);
+    CborValue *body = find(*map, bodyField);
+    if (!group || *group > std::numeric_limits<GroupId>::max()) {
+        return malformed("peer message: wrong group");
+    }
+    if (!kind || *kind >= decoders.size() || body == nullptr
+        || !std::holds_alternative<CborMap>(body->data)) {
+        return malformed("peer message: unknown kind or no body");
+    }
+    Outcome<PeerBody> decoded = decoders.at(*kind)(*body);
+    if (!decoded.ok()) {
+        return decoded.error();
+    }
+    return PeerMessage{static_cast<GroupId>(*group), std::move(decoded.value())};
+}
+
+} // namespace persimmonlb
