--- /dev/null
+++ b/persimmonlb/agreement/agreement_test.cpp
@@ -0,0 +1,284 @@
+#include <boost/test/unit_test.hpp>
+
+#include "persimmonlb/agreement/fakegroup.h"
+
+namespace persimmonlb
+{
+
+namespace
+{
+
+constexpr std::uint64_t seed = 20261204;
+const HostId a{"a"};
+const HostId b{"b"};
+const HostId c{"c"};
+const HostId d{"d"};
+
+AgreementOptions smallLimits()
+{
+    AgreementOptions options;
+    options.limits.compactAfterEntries = 50;
+    options.limits.retainedEntries = 20;
+    options.limits.maxBytesPerSnapshotChunk = 256;
+    options.limits.maxEntriesPerAppend = 16;
+    return options;
+}
+
+ResultCode codeOf(const Outcome<Done> &outcome)
+{
+    return outcome.ok() ? ResultCode::Ok : outcome.error().code;
+}
+
+struct ThreeMembers : FakeGroup {
+    ThreeMembers()
+        : FakeGroup(seed, smallLimits())
+    {
+        for (const HostId &host : {a, b, c}) {
+            add(host);
+        }
+        BOOST_TEST_REQUIRE(capture([&] { return agreement(a).initialise({a, b, c}); }).ok());
+        scheduler.runFor(Milliseconds(3000));
+        BOOST_TEST_REQUIRE(leader().has_value());
+    }
+
+    HostId leading()
+    {
+        BOOST_TEST_REQUIRE(leader().has_value());
+        return *leader();
+    }
+
+    HostId following()
+    {
+        return leading() == a ? b : a;
+    }
+
+    void settle()
+    {
+        scheduler.runFor(Milliseconds(3000));
+    }
+
+    Outcome<Done> replace(const HostId &lost, const HostId &fresh)
+    {
+        Outcome<Done> result = makeError(ResultCode::Internal, "never answered");
+        agreement(leading()).replaceMember(lost, fresh,
+                                           [&](const Outcome<Done> &outcome) { result = outcome; });
+        scheduler.runFor(Milliseconds(12000));
+        return result;
+    }
+
+    void checkAll(const std::vector<HostId> &hosts)
+    {
+        checkPromises(hosts);
+        BOOST_TEST(violations.text() == "");
+    }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(AgreementTest, ThreeMembers)
+
+BOOST_AUTO_TEST_CASE(acknowledgedCommandsAreAppliedOnceOnEveryMember)
+{
+    startCallers();
+    scheduler.runFor(Milliseconds(2000));
+    stopCallers();
+    settle();
+    BOOST_TEST(acknowledgedCount() > 100U);
+    BOOST_TEST(readCount() > 100U);
+    checkAll({a, b, c});
+}
+
+BOOST_AUTO_TEST_CASE(aGroupStartsOnlyOnce)
+{
+    for (const HostId &host : {a, b}) {
+        const auto again = capture([&] { return agreement(host).initialise({a, b, c}); });
+        BOOST_TEST((codeOf(again) == ResultCode::GroupAlreadyInitialised));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(anEmptyFolderStartsNoGroup)
+{
+    add(d);
+    settle();
+    BOOST_TEST((agreement(d).status().role == Role::Learner));
+    BOOST_TEST(agreement(d).status().members.empty());
+}
+
+BOOST_AUTO_TEST_CASE(aStartWithMembersOfAnotherGroupIsRefusedByThem)
+{
+    add(d);
+    BOOST_TEST_REQUIRE(capture([&] { return agreement(d).initialise({a, b, d}); }).ok());
+    startCallers();
+    settle();
+    stopCallers();
+    BOOST_TEST(!agreement(d).leader().has_value());
+    BOOST_TEST((leading() != d));
+    checkAll({a, b, c});
+}
+
+BOOST_AUTO_TEST_CASE(restartAfterHundredsOfCommandsKeepsSnapshotAndLog)
+{
+    startCallers();
+    scheduler.runFor(Milliseconds(4000));
+    stopCallers();
+    BOOST_TEST(acknowledgedCount() > 300U);
+    for (const HostId &host : {a, b, c}) {
+        crash(host);
+    }
+    for (const HostId &host : {a, b, c}) {
+        restart(host);
+        BOOST_TEST(store(host).logStore().compacted().index > 0U);
+    }
+    startCallers();
+    settle();
+    stopCallers();
+    settle();
+    checkAll({a, b, c});
+}
+
+BOOST_AUTO_TEST_CASE(aMemberFarBehindGetsASnapshot)
+{
+    const HostId behind = following();
+    crash(behind);
+    startCallers();
+    scheduler.runFor(Milliseconds(4000));
+    restart(behind);
+    settle();
+    stopCallers();
+    settle();
+    BOOST_TEST(store(behind).logStore().compacted().index > 0U);
+    checkAll({a, b, c});
+}
+
+BOOST_AUTO_TEST_CASE(aHostWithAnEmptyFolderNeverVotesUnderItsOldName)
+{
+    const HostId leads = leading();
+    const HostId lost = following();
+    const HostId third = lost == b ? c : (leads == b ? c : b);
+    crash(third);
+    startCallers();
+    scheduler.runFor(Milliseconds(500));
+    loseDisk(lost);
+    restart(lost);
+    crash(leads); // Only the empty one and the one that missed everything are left.
+    restart(third);
+    scheduler.runFor(Milliseconds(8000));
+    stopCallers();
+    BOOST_TEST(!leader().has_value());
+    BOOST_TEST((agreement(lost).status().role == Role::Learner));
+    restart(leads);
+    settle();
+    checkAll({leads, third});
+}
+
+BOOST_AUTO_TEST_CASE(aHostWithAnEmptyFolderIsNotCounted)
+{
+    const HostId leads = leading();
+    const HostId lost = following();
+    const HostId third = lost == b ? c : (leads == b ? c : b);
+    loseDisk(lost);
+    restart(lost);
+    settle();
+    crash(third);
+    const std::size_t before = acknowledgedCount();
+    propose(leads);
+    settle();
+    BOOST_TEST(acknowledgedCount() == before);
+}
+
+BOOST_AUTO_TEST_CASE(aLostMemberIsReplacedAndTheNextLossIsSurvived)
+{
+    add(d);
+    startCallers();
+    scheduler.runFor(Milliseconds(3000));
+    const HostId lost = following();
+    loseDisk(lost);
+    BOOST_TEST((codeOf(replace(lost, d)) == ResultCode::Ok));
+    BOOST_TEST(!agreement(leading()).status().changeInProgress);
+    loseDisk(leading());
+    scheduler.runFor(Milliseconds(4000));
+    stopCallers();
+    settle();
+    const HostId leads = leading();
+    BOOST_TEST(agreement(leads).status().members.size() == 3U);
+    checkAll({leads, d});
+}
+
+BOOST_AUTO_TEST_CASE(aSecondMemberChangeIsRefusedWhileOneIsInProgress)
+{
+    add(d);
+    add(HostId{"e"});
+    const HostId lost = following();
+    crash(lost);
+    agreement(leading()).replaceMember(lost, d, [](const Outcome<Done> & /*outcome*/) {});
+    ResultCode second = ResultCode::Internal;
+    agreement(leading()).replaceMember(
+        lost, HostId{"e"}, [&](const Outcome<Done> &outcome) { second = codeOf(outcome); });
+    BOOST_TEST((second == ResultCode::MemberChangeInProgress));
+}
+
+BOOST_AUTO_TEST_CASE(aMemberIsNotReplacedUnderItsOwnName)
+{
+    const HostId lost = following();
+    loseDisk(lost);
+    restart(lost);
+    BOOST_TEST((codeOf(replace(lost, lost)) == ResultCode::MalformedRequest));
+}
+
+BOOST_AUTO_TEST_CASE(anotherLeaderCarriesAReplacementOn)
+{
+    add(d);
+    const HostId lost = following();
+    loseDisk(lost);
+    const HostId first = leading();
+    agreement(first).replaceMember(lost, d, [](const Outcome<Done> & /*outcome*/) {});
+    while (agreement(first).status().members.size() < 4) {
+        scheduler.runFor(Milliseconds(1));
+    }
+    crash(first);
+    scheduler.runFor(Milliseconds(100));
+    restart(first);
+    scheduler.runFor(Milliseconds(8000));
+    const GroupStatus status = agreement(leading()).status();
+    BOOST_TEST(!status.changeInProgress);
+    BOOST_TEST(status.members.size() == 3U);
+}
+
+BOOST_AUTO_TEST_CASE(aProposalWithoutQuorumEndsAsNotKnown)
+{
+    const HostId leads = leading();
+    for (const HostId &host : hosts()) {
+        if (host != leads) {
+            crash(host);
+        }
+    }
+    std::optional<ResultCode> code;
+    agreement(leads).propose("7", [&](const Outcome<std::string> &outcome) {
+        code = outcome.ok() ? ResultCode::Ok : outcome.error().code;
+    });
+    settle();
+    BOOST_TEST((code == ResultCode::NoQuorum));
+    BOOST_TEST(!agreement(leads).isLeader());
+}
+
+BOOST_AUTO_TEST_CASE(aMemberWhoseStoreFailsAcknowledgesNothingMore)
+{
+    const HostId leads = leading();
+    store(leads).breakDown();
+    const std::uint64_t number = propose(leads);
+    startCallers();
+    settle();
+    stopCallers();
+    BOOST_TEST(!isAcknowledged(number));
+    BOOST_TEST((leading() != leads));
+    settle();
+    for (const HostId &host : hosts()) {
+        if (host != leads) {
+            checkAll({host});
+        }
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace persimmonlb
--- a/persimmonlb/agreement/formation.cpp
+++ b/persimmonlb/agreement/formation.cpp
@@ -79,7 +79,7 @@
             askForDisk(host);
         }
     }
-    if (holders_ == members_ && core_.role() == Role::Follower) {
+    if (holders_ == members_ && core_.now() >= core_.electionDeadline) {
         campaign_();
     }
 }
