--- /dev/null
+++ b/persimmonlb/store/diskstate.cpp
@@ -0,0 +1,195 @@
+#include "persimmonlb/store/internal/diskstate.h"
+
+#include <memory>
+
+#include "persimmonlb/base/logline.h"
+#include "persimmonlb/store/internal/records.h"
+
+namespace persimmonlb::internal
+{
+
+namespace
+{
+
+constexpr std::string_view appliedKey = "applied";
+constexpr std::string_view activeKey = "active-state";
+constexpr std::string_view firstName = "a";
+constexpr std::string_view secondName = "b";
+/// Bytes of a key that sort after every key in use.
+constexpr std::size_t lastKeyBytes = 256;
+
+/// Removes every pair of a family.
+Result<void> empty(Database &database, Family family)
+{
+    const std::string end(lastKeyBytes, '\xff');
+    rocksdb::WriteBatch batch;
+    batch.DeleteRange(database.family(family), rocksdb::Slice(), slice(end));
+    return database.write(batch);
+}
+
+/// An iterator over a family as it was when this was made.
+class FamilyReader
+{
+public:
+    FamilyReader(rocksdb::DB &database, rocksdb::ColumnFamilyHandle *family)
+        : iterator_(database.NewIterator(rocksdb::ReadOptions(), family))
+    {
+        iterator_->SeekToFirst();
+    }
+
+    Result<KeyValueList> next(std::uint64_t maxBytes)
+    {
+        KeyValueList pairs;
+        std::uint64_t bytes = 0;
+        for (; iterator_->Valid() && (pairs.empty() || bytes < maxBytes); iterator_->Next()) {
+            pairs.emplace_back(iterator_->key().ToString(), iterator_->value().ToString());
+            bytes += pairs.back().first.size() + pairs.back().second.size();
+        }
+        if (!iterator_->status().ok()) {
+            return fail(ResultCode::CorruptStore, iterator_->status().ToString());
+        }
+        return pairs;
+    }
+
+private:
+    std::unique_ptr<rocksdb::Iterator> iterator_;
+};
+
+} // namespace
+
+DiskState::DiskState(Database &database)
+    : database_(database)
+{
+}
+
+Result<void> DiskState::load()
+{
+    BOOST_LEAF_AUTO(active, database_.get(Family::Meta, activeKey));
+    if (active) {
+        BOOST_LEAF_AUTO(name, unseal(activeKey, *active));
+        secondActive_ = name == secondName;
+    }
+    BOOST_LEAF_AUTO(applied, database_.get(Family::Meta, appliedKey));
+    if (applied) {
+        BOOST_LEAF_AUTO(content, unseal(appliedKey, *applied));
+        appliedIndex_ = decodeNumber(content);
+    }
+    return empty(database_, staging()); // What a snapshot cut off by a crash left behind.
+}
+
+Family DiskState::active() const
+{
+    return secondActive_ ? Family::StateB : Family::StateA;
+}
+
+Family DiskState::staging() const
+{
+    return secondActive_ ? Family::StateA : Family::StateB;
+}
+
+std::uint64_t DiskState::appliedIndex() const
+{
+    return appliedIndex_;
+}
+
+void DiskState::putChanges(rocksdb::WriteBatch &batch, const MutationList &changes) const
+{
+    rocksdb::ColumnFamilyHandle *family = database_.family(active());
+    for (const Mutation &change : changes) {
+        if (change.value) {
+            batch.Put(family, slice(change.key), slice(*change.value));
+        } else {
+            batch.Delete(family, slice(change.key));
+        }
+    }
+}
+
+void DiskState::putApplied(rocksdb::WriteBatch &batch, std::uint64_t index) const
+{
+    batch.Put(database_.family(Family::Meta), slice(appliedKey),
+              slice(seal(appliedKey, encodeNumber(index))));
+}
+
+Result<void> DiskState::apply(std::uint64_t index, const MutationList &changes)
+{
+    rocksdb::WriteBatch batch;
+    putChanges(batch, changes);
+    putApplied(batch, index);
+    BOOST_LEAF_CHECK(database_.write(batch));
+    appliedIndex_ = index;
+    return {};
+}
+
+Result<void> DiskState::write(const MutationList &changes)
+{
+    rocksdb::WriteBatch batch;
+    putChanges(batch, changes);
+    return database_.write(batch);
+}
+
+std::optional<std::string> DiskState::get(std::string_view key) const
+{
+    auto value = capture([&] { return database_.get(active(), key); });
+    if (!value.ok()) {
+        LogLine(LogLevel::Error, "state_read_failed").add("why", value.error().message).write();
+        return std::nullopt;
+    }
+    return std::move(value.value());
+}
+
+void DiskState::scan(
+    std::string_view prefix,
+    const std::function<bool(std::string_view key, std::string_view value)> &visit) const
+{
+    const std::unique_ptr<rocksdb::Iterator> iterator(
+        database_.rocks().NewIterator(rocksdb::ReadOptions(), database_.family(active())));
+    for (iterator->Seek(slice(prefix)); iterator->Valid(); iterator->Next()) {
+        const std::string_view key = view(iterator->key());
+        if (!key.starts_with(prefix) || !visit(key, view(iterator->value()))) {
+            return;
+        }
+    }
+    if (!iterator->status().ok()) {
+        LogLine(LogLevel::Error, "state_read_failed")
+            .add("why", iterator->status().ToString())
+            .write();
+    }
+}
+
+SnapshotView DiskState::openSnapshot() const
+{
+    auto reader = std::make_shared<FamilyReader>(database_.rocks(), database_.family(active()));
+    return {.appliedIndex = appliedIndex_, .next = [reader](std::uint64_t maxBytes) {
+                return reader->next(maxBytes);
+            }};
+}
+
+Result<void> DiskState::beginStaging()
+{
+    return empty(database_, staging());
+}
+
+Result<void> DiskState::stage(const KeyValueList &pairs)
+{
+    rocksdb::WriteBatch batch;
+    for (const auto &[key, value] : pairs) {
+        batch.Put(database_.family(staging()), slice(key), slice(value));
+    }
+    return database_.write(batch);
+}
+
+void DiskState::install(rocksdb::WriteBatch &batch, std::uint64_t appliedIndex) const
+{
+    const std::string_view name = secondActive_ ? firstName : secondName;
+    batch.Put(database_.family(Family::Meta), slice(activeKey), slice(seal(activeKey, name)));
+    putApplied(batch, appliedIndex);
+}
+
+Result<void> DiskState::installed(std::uint64_t appliedIndex)
+{
+    secondActive_ = !secondActive_;
+    appliedIndex_ = appliedIndex;
+    return empty(database_, staging());
+}
+
+} // namespace persimmonlb::internal
