--- a/scripts/lib/cluster.sh
+++ b/scripts/lib/cluster.sh
@@ -110,3 +110,118 @@
   done
   pids=()
 }
+
+# plan_hosts N   Chooses ports for host-0 .. host-(N-1), all entry and control, and writes their settings.
+# Sets entry_ports, hosts (for --host) and urls.
+plan_hosts() {
+  local count=$1 i zones=(ife-a ibadan-b osogbo-c akure-d)
+  peers=()
+  entry_ports=()
+  urls=()
+  hosts=
+  for ((i = 0; i < count; i++)); do
+    entry_ports+=("$(free_port)")
+    peers+=("host-$i:$(free_port):true")
+    urls+=("http://127.0.0.1:${entry_ports[$i]}")
+    hosts+=${hosts:+,}127.0.0.1:${entry_ports[$i]}
+  done
+  for ((i = 0; i < count; i++)); do
+    write_settings "host-$i" "${zones[$((i % 4))]}" '["entry", "control"]' "${entry_ports[$i]}" \
+      "$(cut -d: -f2 <<<"${peers[$i]}")" "${peers[@]}"
+  done
+}
+
+# start_group N   Starts host-0 .. host-(N-1) of the plan and the control group of all of them.
+start_group() {
+  local count=$1 i names=()
+  for ((i = 0; i < count; i++)); do
+    names+=("host-$i")
+    start_host "host-$i"
+  done
+  for ((i = 0; i < count; i++)); do
+    wait_for 10 curl -sf "${urls[$i]}/healthz" || return 1
+  done
+  wait_for 10 ctl group init "${names[@]}"
+}
+
+# ctl ARG...   persimmonlbctl as operator.
+ctl() {
+  "$bin/persimmonlbctl" --host "$hosts" --key-file "$work/operator.key" --operator planner "$@"
+}
+
+# start_engine NAME ARG...   Starts a stand-in of a model engine for lettering-lm.
+start_engine() {
+  local name=$1
+  shift
+  start "$name" "$bin/fakeengine" --listen "127.0.0.1:$(free_port)" --server "$name" \
+    --service lettering-lm --kind engine --announce "$hosts" \
+    --backend-key-file "$work/backend.key" --model lettering-7b --version 1 --run-seconds 180 "$@"
+}
+
+# start_plain NAME ARG...   Starts a stand-in of the plain service booking-app.
+start_plain() {
+  local name=$1
+  shift
+  start "$name" "$bin/fakeengine" --listen "127.0.0.1:$(free_port)" --server "$name" \
+    --service booking-app --kind plain --announce "$hosts" \
+    --backend-key-file "$work/backend.key" --run-seconds 180 "$@"
+}
+
+# servers_ready N   True when every host sees at least N ready backend servers.
+servers_ready() {
+  local url count
+  for url in "${urls[@]}"; do
+    count=$("$bin/persimmonlbctl" --host "${url#http://}" --key-file "$work/operator.key" --json \
+      server list | grep -o '"state":"ready"' | wc -l)
+    [ "$count" -ge "$1" ] || return 1
+  done
+}
+
+# sheet_in_force   True when the sheet is in force everywhere.
+sheet_in_force() {
+  ctl --json sheet status | grep -q '"in_force_everywhere":true'
+}
+
+# group_field HOST_INDEX FIELD   Prints a field of a host's group status.
+group_field() {
+  curl -sS --max-time 2 -H "Authorization: Bearer $(cat "$work/operator.key")" \
+    "${urls[$1]}/v1/admin/group" | grep -o "\"$2\":\"[^\"]*\"" | cut -d'"' -f4
+}
+
+# leader_index   Prints the index of the host that leads, as the first host that answers says.
+leader_index() {
+  local i leader
+  for i in "${!urls[@]}"; do
+    leader=$(group_field "$i" leader 2>/dev/null || true)
+    if [ -n "$leader" ]; then
+      echo "${leader#host-}"
+      return 0
+    fi
+  done
+  return 1
+}
+
+# kill_now NAME   Ends a process that was started here by SIGKILL.
+kill_now() {
+  kill -KILL "${pid_of[$1]}" 2>/dev/null || true
+  wait "${pid_of[$1]}" 2>/dev/null || true
+}
+
+# write_job FILE COUNT [IDEMPOTENT [MAX_TOKENS]]   Writes a batch job of COUNT items.
+write_job() {
+  local i
+  for ((i = 1; i <= $2; i++)); do
+    echo "{\"custom_id\":\"item-$i\",\"idempotent\":${3:-true},\"body\":{\"model\":\"lettering-lm\",\"max_tokens\":${4:-4},\"messages\":[{\"role\":\"user\",\"content\":\"draft $i\"}]}}"
+  done >"$1"
+}
+
+# market ARG...   persimmonlbctl as the caller market.
+market() {
+  [ -e "$work/market.key" ] || (umask 077 && echo market-key >"$work/market.key")
+  "$bin/persimmonlbctl" --host "$hosts" --caller market --key-file "$work/market.key" "$@"
+}
+
+# submit_job FILE   Submits a job of the caller market and prints its id.
+submit_job() {
+  market --json job submit --service lettering-lm "$1" | grep -o 'job-[0-9a-f]*' | head -1
+}
