--- a/persimmonlb/control/controlservice.cpp
+++ b/persimmonlb/control/controlservice.cpp
@@ -111,7 +111,7 @@
 void ControlService::leadershipBegan()
 {
     leases_.leadershipBegan();
-    releasing_.clear();
+    released_.clear();
 }
 
 void ControlService::tick()
@@ -119,18 +119,34 @@
     if (!hooks_.isLeader()) {
         return;
     }
-    const WallTime now = clock_.wall();
-    for (const Owner &owner : leases_.lapsed(hooks_.owners())) {
-        if (!releasing_.insert(owner).second) {
+    const std::vector<Owner> lapsed = leases_.lapsed(hooks_.owners());
+    const std::set<Owner> stillLapsed(lapsed.begin(), lapsed.end());
+    std::erase_if(released_, [&](const Owner &owner) { return !stillLapsed.contains(owner); });
+    for (const Owner &owner : lapsed) {
+        // An owner that came back for a moment may hold something again.
+        if (released_.contains(owner) && !hooks_.holdsAnything(owner)) {
             continue;
         }
-        LogLine(LogLevel::Warning, "owner_lapsed")
-            .add("host", owner.host.value)
-            .add("incarnation", static_cast<std::int64_t>(owner.incarnation))
-            .write();
-        hooks_.propose(encodeCommand(ReleaseOwner{owner, now}),
-                       [this, owner](const Outcome<std::string> &) { releasing_.erase(owner); });
+        release(owner);
     }
 }
 
+void ControlService::release(const Owner &owner)
+{
+    if (!releasing_.insert(owner).second) {
+        return;
+    }
+    LogLine(LogLevel::Warning, "owner_lapsed")
+        .add("host", owner.host.value)
+        .add("incarnation", static_cast<std::int64_t>(owner.incarnation))
+        .write();
+    hooks_.propose(encodeCommand(ReleaseOwner{owner, clock_.wall()}),
+                   [this, owner](const Outcome<std::string> &outcome) {
+                       releasing_.erase(owner);
+                       if (outcome.ok()) {
+                           released_.insert(owner);
+                       }
+                   });
+}
+
 } // namespace persimmonlb
--- a/persimmonlb/control/controlservice.h
+++ b/persimmonlb/control/controlservice.h
@@ -26,8 +26,10 @@
     std::function<void(std::function<void(Outcome<Done>)> done)> readBarrier;
     std::function<Answer(const Query &)> answer;
     std::function<InForce()> inForce;
-    /// Owners that hold leases on items or claims, or are registered.
+    /// Registered owners, and all that hold leases on items or claims.
     std::function<std::vector<Owner>()> owners;
+    /// Whether an owner holds a lease on an item or a claim without outcome.
+    std::function<bool(const Owner &)> holdsAnything;
     std::function<bool(const HostId &to, PeerBody body)> send;
 };
 
@@ -48,6 +50,7 @@
     void tick();
 
 private:
+    void release(const Owner &owner);
     [[nodiscard]] ControlReply notLeader(std::uint64_t requestId) const;
     [[nodiscard]] ControlReply failed(std::uint64_t requestId, const Error &error) const;
 
@@ -55,7 +58,8 @@
     ControlServiceHooks hooks_;
     HostId self_;
     LeaseTable leases_;
-    std::set<Owner> releasing_;
+    std::set<Owner> releasing_; ///< A release is under way.
+    std::set<Owner> released_; ///< Lapsed and released; asked for again once they lived anew.
 };
 
 } // namespace persimmonlb
--- a/persimmonlb/daemon/settings_test.cpp
+++ b/persimmonlb/daemon/settings_test.cpp
@@ -72,6 +72,15 @@
     BOOST_TEST(settings.mesh.peers.front().control);
 }
 
+BOOST_AUTO_TEST_CASE(theExampleIsValid)
+{
+    std::ifstream file(std::string(PERSIMMONLB_SOURCE_DIR) + "/examples/settings.toml");
+    std::ostringstream text;
+    text << file.rdbuf();
+    const auto outcome = capture([&] { return parseSettings(text.str()); });
+    BOOST_TEST(outcome.ok(), (outcome.ok() ? "" : outcome.error().message));
+}
+
 BOOST_DATA_TEST_CASE(badSettingsAreNamed, badSettings, bad)
 {
     std::string text = valid;
