--- a/persimmonlb/ctl/commands.cpp
+++ b/persimmonlb/ctl/commands.cpp
@@ -29,7 +29,7 @@
     {"sheet", "show", 0, 0, sheetShow, "sheet show", "The sheet in force."},
     {"sheet", "status", 0, 0, sheetStatus, "sheet status [--wait]",
      "Which hosts have it in force."},
-    {"job", "submit", 1, 1, jobSubmit, "job submit --service S --due T FILE [--key K]",
+    {"job", "submit", 1, 1, jobSubmit, "job submit --service S [--due T] FILE [--key K]",
      "Submit a file of JSON lines."},
     {"job", "list", 0, 0, jobList, "job list", "Jobs of the caller; of all with --operator."},
     {"job", "show", 1, 1, jobShow, "job show ID", "State and counts of a job."},
--- a/persimmonlb/ctl/commands_test.cpp
+++ b/persimmonlb/ctl/commands_test.cpp
@@ -113,6 +113,16 @@
     BOOST_TEST(fixture.out.str().find("job-1") != std::string::npos);
 }
 
+BOOST_AUTO_TEST_CASE(aDueTimeThatIsNoTimeIsRefusedBeforeAnythingIsSent)
+{
+    CommandFixture fixture;
+    fixture.options.service = "lettering-lm";
+    fixture.options.due = "tomorrow";
+    const std::string path = fixture.file("items.jsonl", "{}\n");
+    BOOST_TEST((fixture.run({"job", "submit", path}) == ExitCode::Usage));
+    BOOST_TEST(fixture.requests.empty());
+}
+
 BOOST_AUTO_TEST_CASE(aLostAnswerIsSaidPlainlyWithTheCommandToRepeat)
 {
     CommandFixture fixture;
