--- a/persimmonlb/testing/fakeengine.cpp
+++ b/persimmonlb/testing/fakeengine.cpp
@@ -138,7 +138,9 @@
     Text listen{"", "listen", "Address to serve on", true, "", "IP:PORT", line};
     Text server{"", "server", "Name it announces", true, "", "NAME", line};
     Text service{"", "service", "Service it announces", true, "", "NAME", line};
-    Text kind{"", "kind", "engine or plain", false, "engine", "KIND", line};
+    std::vector<std::string> kinds{"engine", "plain"};
+    TCLAP::ValuesConstraint<std::string> knownKinds{kinds};
+    Text kind{"", "kind", "Kind of the server", false, "engine", &knownKinds, line};
     Text zone{"", "zone", "Availability zone", false, "", "NAME", line};
     Text announce{"", "announce", "Entry hosts, separated by commas", false, "", "LIST", line};
     Text keyFile{"", "backend-key-file", "File with the backend key", false, "", "FILE", line};
--- a/persimmonlb/testing/phaserunner.cpp
+++ b/persimmonlb/testing/phaserunner.cpp
@@ -109,8 +109,7 @@
 public:
     PhaseLoads(boost::asio::io_context &context, EntryCaller &caller, const Phase &phase,
                PhaseWindow window, std::uint64_t seed, PhaseReport &report)
-        : report_(report)
-        , killTimer_(context)
+        : killTimer_(context)
     {
         constexpr std::uint64_t arrivals = 1;
         constexpr std::uint64_t contents = 2;
@@ -178,7 +177,6 @@
     }
 
 private:
-    PhaseReport &report_;
     std::optional<OnlineLoad> online_;
     std::optional<PlainLoad> plain_;
     std::optional<BatchLoad> batch_;
@@ -214,8 +212,10 @@
     caller.abandon();
     report.worstScheduleLagMs = loads.worstLagMs();
     const PrefixCounts after = readPrefixCounts(context, client, probes.engines);
-    report.promptTokens = after.prompt - before.prompt;
-    report.cachedTokens = after.cached - before.cached;
+    // An engine that was lost took its counts along; then there is no share to tell.
+    const bool complete = after.prompt >= before.prompt && after.cached >= before.cached;
+    report.promptTokens = complete ? after.prompt - before.prompt : 0;
+    report.cachedTokens = complete ? after.cached - before.cached : 0;
 }
 
 } // namespace persimmonlb
