--- /dev/null
+++ b/persimmonlb/claims/internal/claimrecord.cpp
@@ -0,0 +1,36 @@
+#include "persimmonlb/claims/internal/claimrecord.h"
+
+#include "persimmonlb/state/commandfields.h"
+
+namespace persimmonlb::internal
+{
+
+template <typename Visitor, Like<ClaimRecord> Value>
+void visitFields(Visitor &visitor, Value &value)
+{
+    visitor("key", value.key);
+    visitor("service", value.service);
+    visitor("digest", value.bodyDigest);
+    visitor("owner", value.owner);
+    visitor("requestId", value.requestId);
+    visitor("state", value.state);
+    visitor("answer", value.answer);
+    visitor("endedAt", value.endedAt);
+    visitor("neverSent", value.neverSent);
+}
+
+std::string encode(const ClaimRecord &record)
+{
+    return encodeFields(record);
+}
+
+std::optional<ClaimRecord> decodeClaimRecord(std::string_view bytes)
+{
+    auto record = decodeFields<ClaimRecord>(bytes);
+    if (!record.ok()) {
+        return std::nullopt;
+    }
+    return std::move(record.value());
+}
+
+} // namespace persimmonlb::internal
--- /dev/null
+++ b/persimmonlb/state/replicatedstate.cpp
@@ -0,0 +1,408 @@
+#include "persimmonlb/state/replicatedstate.h"
+
+#include <type_traits>
+#include <variant>
+
+#include "persimmonlb/state/keys.h"
+
+namespace persimmonlb
+{
+
+namespace
+{
+
+constexpr std::string_view entryStateCounter = "entrystate";
+constexpr std::uint32_t defaultBatchAttempts = 3;
+
+AuditRecord auditRecord(WallTime at, std::string kind, std::string who, std::string subject,
+                        ResultCode code, std::string detail)
+{
+    return AuditRecord{.sequence = 0,
+                       .at = at,
+                       .kind = std::move(kind),
+                       .who = std::move(who),
+                       .subject = std::move(subject),
+                       .code = static_cast<std::uint16_t>(code),
+                       .count = 1,
+                       .detail = std::move(detail)};
+}
+
+PlainReply olderIncarnation()
+{
+    return PlainReply{.code = ResultCode::NotInForce,
+                      .message = "a later incarnation of this host is registered"};
+}
+
+} // namespace
+
+ReplicatedState::ReplicatedState(StateStore store)
+    : store_(store)
+    , sheets_(store)
+    , jobs_(store,
+            JobPolicy{.maxBatchAttempts
+                      = [this](const ServiceName &service) { return maxBatchAttempts(service); },
+                      .weight =
+                          [this](const CallerName &caller) {
+                              return weight(caller);
+                          }})
+    , claims_(store)
+    , hosts_(store)
+    , quarantine_(store)
+    , audit_(store)
+    , fencing_(store)
+{
+}
+
+StateMachine ReplicatedState::machine()
+{
+    return StateMachine{
+        .apply =
+            [this](std::uint64_t /*index*/, std::string_view bytes, MutationList &changes) {
+                const auto command = decodeCommand(bytes);
+                if (!command.ok()) {
+                    return encodeReply(PlainReply{.code = command.error().code,
+                                                  .message = command.error().message});
+                }
+                return encodeReply(apply(command.value(), changes));
+            },
+        .reload = [this] { return reload(); },
+    };
+}
+
+Reply ReplicatedState::apply(const Command &command, MutationList &changes)
+{
+    return std::visit(
+        [&](const auto &value) {
+            if constexpr (requires { value.at; }) {
+                expire(value.at, changes);
+            }
+            return applyOne(value, changes);
+        },
+        command);
+}
+
+Result<void> ReplicatedState::reload()
+{
+    BOOST_LEAF_CHECK(sheets_.reload());
+    BOOST_LEAF_CHECK(jobs_.reload());
+    BOOST_LEAF_CHECK(claims_.reload());
+    BOOST_LEAF_CHECK(hosts_.reload());
+    BOOST_LEAF_CHECK(quarantine_.reload());
+    BOOST_LEAF_CHECK(audit_.reload());
+    BOOST_LEAF_CHECK(fencing_.reload());
+    const auto version = store_.get(keys::counter(entryStateCounter));
+    entryStateVersion_ = version ? keys::parseNumber(*version).value_or(0) : 0;
+    return {};
+}
+
+void ReplicatedState::expire(WallTime at, MutationList &changes)
+{
+    claims_.expire(at, changes);
+    const bool jobsChanged = jobs_.expire(at, changes);
+    const bool quarantineChanged = quarantine_.expire(at, changes);
+    if (jobsChanged || quarantineChanged) {
+        entryStateChanged(changes);
+    }
+}
+
+void ReplicatedState::entryStateChanged(MutationList &changes)
+{
+    ++entryStateVersion_;
+    changes.push_back({keys::counter(entryStateCounter), keys::number(entryStateVersion_)});
+}
+
+void ReplicatedState::releaseOwner(const Owner &owner, WallTime at, MutationList &changes)
+{
+    jobs_.release(owner, changes);
+    claims_.release(owner, at, changes);
+}
+
+Reply ReplicatedState::applyOne(const ApplySheet &command, MutationList &changes)
+{
+    const SheetReply reply = sheets_.apply(command, changes);
+    const bool inForce = reply.code == ResultCode::Ok;
+    audit_.append(auditRecord(command.at, "sheet", command.by.value,
+                              inForce ? std::to_string(reply.numberInForce) : "", reply.code,
+                              inForce ? reply.digestInForce : reply.message),
+                  changes);
+    return reply;
+}
+
+Reply ReplicatedState::applyOne(const OpenJob &command, MutationList &changes)
+{
+    const JobReply reply = jobs_.open(command, changes);
+    if (!reply.existed) {
+        audit_.append(auditRecord(command.at, "job", command.caller.value,
+                                  reply.code == ResultCode::Ok ? reply.id.value : command.id.value,
+                                  reply.code,
+                                  "open service=" + command.service.value
+                                      + " items=" + std::to_string(command.itemCount)),
+                      changes);
+    }
+    return reply;
+}
+
+Reply ReplicatedState::applyOne(const AddItems &command, MutationList &changes)
+{
+    return jobs_.add(command, changes);
+}
+
+Reply ReplicatedState::applyOne(const SealJob &command, MutationList &changes)
+{
+    const JobReply reply = jobs_.seal(command, changes);
+    if (!reply.existed) {
+        const auto found = jobs_.find(command.id).jobs;
+        audit_.append(auditRecord(command.at, "job",
+                                  found.empty() ? "" : found.front().caller.value, command.id.value,
+                                  reply.code, "seal"),
+                      changes);
+    }
+    return reply;
+}
+
+Reply ReplicatedState::applyOne(const CancelJob &command, MutationList &changes)
+{
+    const std::size_t before = jobs_.cancelledRecently().size();
+    const PlainReply reply = jobs_.cancel(command, changes);
+    if (jobs_.cancelledRecently().size() != before) {
+        entryStateChanged(changes);
+    }
+    audit_.append(
+        auditRecord(command.at, "cancel", command.by, command.id.value, reply.code, reply.message),
+        changes);
+    return reply;
+}
+
+Reply ReplicatedState::applyOne(const LeaseItems &command, MutationList &changes)
+{
+    if (!hosts_.isCurrent(command.owner)) {
+        return LeaseReply{.items = {}, .pending = jobs_.pendingItems(command.service)};
+    }
+    return jobs_.lease(command, changes);
+}
+
+Reply ReplicatedState::applyOne(const CompleteItems &command, MutationList &changes)
+{
+    if (!hosts_.isCurrent(command.owner)) {
+        return CompleteReply{.recorded = 0,
+                             .dropped = static_cast<std::uint32_t>(command.outcomes.size())};
+    }
+    return jobs_.complete(command, changes);
+}
+
+Reply ReplicatedState::applyOne(const ReleaseOwner &command, MutationList &changes)
+{
+    releaseOwner(command.owner, command.at, changes);
+    return PlainReply{};
+}
+
+Reply ReplicatedState::applyOne(const ClaimRequest &command, MutationList &changes)
+{
+    if (hosts_.isCurrent(command.owner)) {
+        return claims_.claim(command, changes);
+    }
+    ClaimReply reply = claims_.find(command.key);
+    if (reply.state == ClaimState::NotSent) {
+        reply = ClaimReply{.state = ClaimState::Running,
+                           .owner = hosts_.current(command.owner.host).value_or(Owner{}),
+                           .answer = {}};
+    }
+    return reply;
+}
+
+Reply ReplicatedState::applyOne(const RecordOutcome &command, MutationList &changes)
+{
+    if (!hosts_.isCurrent(command.owner)) {
+        return claims_.find(command.key);
+    }
+    return claims_.record(command, changes);
+}
+
+Reply ReplicatedState::applyOne(const RegisterHost &command, MutationList &changes)
+{
+    const PlainReply reply = hosts_.registerHost(command, changes);
+    if (reply.code != ResultCode::Ok) {
+        return reply;
+    }
+    for (const Owner &owner : owners()) {
+        if (owner.host == command.owner.host && !hosts_.isCurrent(owner)) {
+            releaseOwner(owner, command.at, changes);
+        }
+    }
+    return reply;
+}
+
+Reply ReplicatedState::applyOne(const DrainHost &command, MutationList &changes)
+{
+    if (hosts_.drain(command, changes)) {
+        entryStateChanged(changes);
+    }
+    audit_.append(auditRecord(command.at, "drain", command.by, command.host.value, ResultCode::Ok,
+                              command.draining ? "draining" : "taken back"),
+                  changes);
+    return PlainReply{};
+}
+
+Reply ReplicatedState::applyOne(const ReportSuspects &command, MutationList &changes)
+{
+    const auto changed = quarantine_.report(command, changes);
+    for (const std::string &fingerprint : changed.convicted) {
+        audit_.append(auditRecord(command.at, "quarantine", command.server.value, fingerprint,
+                                  ResultCode::Quarantined, "convicted"),
+                      changes);
+    }
+    for (const std::string &fingerprint : changed.lifted) {
+        audit_.append(auditRecord(command.at, "quarantine", command.server.value, fingerprint,
+                                  ResultCode::Ok, "lifted"),
+                      changes);
+    }
+    if (changed.suspectsChanged || !changed.convicted.empty() || !changed.lifted.empty()) {
+        entryStateChanged(changes);
+    }
+    return PlainReply{};
+}
+
+Reply ReplicatedState::applyOne(const ReleaseQuarantine &command, MutationList &changes)
+{
+    const bool released = quarantine_.release(command.fingerprint, changes);
+    const ResultCode code = released ? ResultCode::Ok : ResultCode::NotFound;
+    if (released) {
+        entryStateChanged(changes);
+    }
+    audit_.append(
+        auditRecord(command.at, "quarantine", command.by, command.fingerprint, code, "released"),
+        changes);
+    return PlainReply{.code = code, .message = released ? "" : "not quarantined"};
+}
+
+Reply ReplicatedState::applyOne(const ReserveFencing &command, MutationList &changes)
+{
+    const FencingReply reply = fencing_.reserve(command, changes);
+    audit_.append(auditRecord(command.at, "order", "control", std::to_string(reply.first),
+                              ResultCode::Ok, command.description),
+                  changes);
+    return reply;
+}
+
+Reply ReplicatedState::applyOne(const AppendAudit &command, MutationList &changes)
+{
+    if (!hosts_.isCurrent(command.owner)) {
+        return olderIncarnation();
+    }
+    return audit_.appendBatch(command, changes);
+}
+
+EntryStateAnswer ReplicatedState::entryState() const
+{
+    return EntryStateAnswer{.version = entryStateVersion_,
+                            .convictions = quarantine_.convictions(),
+                            .suspects = quarantine_.suspects(),
+                            .draining = hosts_.draining(),
+                            .cancelledRecently = jobs_.cancelledRecently()};
+}
+
+Answer ReplicatedState::answer(const Query &query) const
+{
+    struct Visitor {
+        const ReplicatedState &state;
+
+        Answer operator()(const SheetQuery &) const
+        {
+            return state.sheets_.answer();
+        }
+        Answer operator()(const JobQuery &asked) const
+        {
+            return state.jobs_.find(asked.id);
+        }
+        Answer operator()(const JobListQuery &asked) const
+        {
+            return state.jobs_.list(asked);
+        }
+        Answer operator()(const ResultsQuery &asked) const
+        {
+            return state.jobs_.results(asked);
+        }
+        Answer operator()(const ClaimQuery &asked) const
+        {
+            return state.claims_.find(asked.key);
+        }
+        Answer operator()(const AuditQuery &asked) const
+        {
+            return state.audit_.list(asked);
+        }
+        Answer operator()(const EntryStateQuery &) const
+        {
+            return state.entryState();
+        }
+    };
+    return std::visit(Visitor{*this}, query);
+}
+
+const Sheet *ReplicatedState::sheetInForce() const
+{
+    return sheets_.inForce();
+}
+
+std::uint64_t ReplicatedState::sheetNumber() const
+{
+    return sheets_.answer().number;
+}
+
+std::uint64_t ReplicatedState::entryStateVersion() const
+{
+    return entryStateVersion_;
+}
+
+std::uint64_t ReplicatedState::pendingItems(const ServiceName &service) const
+{
+    return jobs_.pendingItems(service);
+}
+
+const std::map<HostId, HostRecord> &ReplicatedState::hosts() const
+{
+    return hosts_.hosts();
+}
+
+std::set<HostId> ReplicatedState::drainingHosts() const
+{
+    const auto hosts = hosts_.draining();
+    return {hosts.begin(), hosts.end()};
+}
+
+std::vector<Owner> ReplicatedState::owners() const
+{
+    std::set<Owner> owners = jobs_.owners();
+    owners.merge(claims_.owners());
+    for (const auto &[host, record] : hosts_.hosts()) {
+        if (record.owner.incarnation != 0) {
+            owners.insert(record.owner);
+        }
+    }
+    return {owners.begin(), owners.end()};
+}
+
+std::size_t ReplicatedState::runningClaims(const Owner &owner) const
+{
+    return claims_.running(owner);
+}
+
+std::size_t ReplicatedState::jobMemoryBytes() const
+{
+    return jobs_.memoryBytes();
+}
+
+std::uint32_t ReplicatedState::maxBatchAttempts(const ServiceName &service) const
+{
+    const Sheet *sheet = sheets_.inForce();
+    const SheetService *row = sheet != nullptr ? sheet->findService(service) : nullptr;
+    return row != nullptr ? row->maxBatchAttempts : defaultBatchAttempts;
+}
+
+std::uint32_t ReplicatedState::weight(const CallerName &caller) const
+{
+    const Sheet *sheet = sheets_.inForce();
+    const SheetQuota *row = sheet != nullptr ? sheet->findQuota(caller) : nullptr;
+    return row != nullptr ? row->weight : 1;
+}
+
+} // namespace persimmonlb
