--- a/persimmonlb/store/database.cpp
+++ b/persimmonlb/store/database.cpp
@@ -159,6 +159,11 @@
     return mark_.write(upTo);
 }
 
+bool Database::wasUsed() const
+{
+    return mark_.opened() > 0;
+}
+
 rocksdb::DB &Database::rocks() const
 {
     return *database_;
--- a/persimmonlb/store/diskstate.cpp
+++ b/persimmonlb/store/diskstate.cpp
@@ -11,7 +11,9 @@
 namespace
 {
 
-constexpr std::string_view appliedKey = "applied";
+/// Lies in the same family as the state, so that a lost table file loses both or neither. Hidden
+/// from readers.
+constexpr std::string_view appliedKey{"\0applied", 8};
 constexpr std::string_view activeKey = "active-state";
 constexpr std::string_view firstName = "a";
 constexpr std::string_view secondName = "b";
@@ -42,6 +44,9 @@
         KeyValueList pairs;
         std::uint64_t bytes = 0;
         for (; iterator_->Valid() && (pairs.empty() || bytes < maxBytes); iterator_->Next()) {
+            if (view(iterator_->key()) == appliedKey) {
+                continue;
+            }
             pairs.emplace_back(iterator_->key().ToString(), iterator_->value().ToString());
             bytes += pairs.back().first.size() + pairs.back().second.size();
         }
@@ -64,12 +69,12 @@
 
 Result<void> DiskState::load()
 {
-    BOOST_LEAF_AUTO(active, database_.get(Family::Meta, activeKey));
-    if (active) {
-        BOOST_LEAF_AUTO(name, unseal(activeKey, *active));
+    BOOST_LEAF_AUTO(activeName, database_.get(Family::Meta, activeKey));
+    if (activeName) {
+        BOOST_LEAF_AUTO(name, unseal(activeKey, *activeName));
         secondActive_ = name == secondName;
     }
-    BOOST_LEAF_AUTO(applied, database_.get(Family::Meta, appliedKey));
+    BOOST_LEAF_AUTO(applied, database_.get(active(), appliedKey));
     if (applied) {
         BOOST_LEAF_AUTO(content, unseal(appliedKey, *applied));
         appliedIndex_ = decodeNumber(content);
@@ -104,9 +109,9 @@
     }
 }
 
-void DiskState::putApplied(rocksdb::WriteBatch &batch, std::uint64_t index) const
+void DiskState::putApplied(rocksdb::WriteBatch &batch, Family family, std::uint64_t index) const
 {
-    batch.Put(database_.family(Family::Meta), slice(appliedKey),
+    batch.Put(database_.family(family), slice(appliedKey),
               slice(seal(appliedKey, encodeNumber(index))));
 }
 
@@ -114,7 +119,7 @@
 {
     rocksdb::WriteBatch batch;
     putChanges(batch, changes);
-    putApplied(batch, index);
+    putApplied(batch, active(), index);
     BOOST_LEAF_CHECK(database_.write(batch));
     appliedIndex_ = index;
     return {};
@@ -145,6 +150,9 @@
         database_.rocks().NewIterator(rocksdb::ReadOptions(), database_.family(active())));
     for (iterator->Seek(slice(prefix)); iterator->Valid(); iterator->Next()) {
         const std::string_view key = view(iterator->key());
+        if (key == appliedKey) {
+            continue;
+        }
         if (!key.starts_with(prefix) || !visit(key, view(iterator->value()))) {
             return;
         }
@@ -182,7 +190,7 @@
 {
     const std::string_view name = secondActive_ ? firstName : secondName;
     batch.Put(database_.family(Family::Meta), slice(activeKey), slice(seal(activeKey, name)));
-    putApplied(batch, appliedIndex);
+    putApplied(batch, staging(), appliedIndex);
 }
 
 Result<void> DiskState::installed(std::uint64_t appliedIndex)
--- a/persimmonlb/store/diskstore.cpp
+++ b/persimmonlb/store/diskstore.cpp
@@ -34,6 +34,8 @@
     StateStore stateStore;
 
 private:
+    /// Log, state and hard state must fit together. Errors: CorruptStore.
+    [[nodiscard]] Result<void> checkAgreement() const;
     Result<void> loadIdentity();
     Result<void> loadHardState();
     Result<void> put(std::string_view key, const std::string &content);
@@ -77,18 +79,30 @@
     BOOST_LEAF_CHECK(loadHardState());
     BOOST_LEAF_CHECK(log_.load());
     BOOST_LEAF_CHECK(state_.load());
-    if (state_.appliedIndex() < log_.compacted().index
-        || state_.appliedIndex() > log_.lastIndex()) {
+    return checkAgreement();
+}
+
+Result<void> DiskStore::Implementation::checkAgreement() const
+{
+    const std::uint64_t applied = state_.appliedIndex();
+    if (applied < log_.compacted().index || applied > log_.lastIndex()) {
         return fail(ResultCode::CorruptStore,
-                    "applied index " + std::to_string(state_.appliedIndex())
+                    options_.folder + ": applied index " + std::to_string(applied)
                         + " lies outside the log");
     }
+    if (hardState_.term < log_.termAt(log_.lastIndex()).value_or(0)) {
+        return fail(ResultCode::CorruptStore,
+                    options_.folder + ": the hard state is older than the log");
+    }
     return {};
 }
 
 Result<void> DiskStore::Implementation::loadIdentity()
 {
     BOOST_LEAF_AUTO(record, database_->get(Family::Meta, identityKey));
+    if (!record && database_->wasUsed()) {
+        return fail(ResultCode::CorruptStore, options_.folder + ": record identity is missing");
+    }
     if (!record) {
         identity_ = {.host = options_.host, .disk = systemRandom()() | 1U, .format = formatVersion};
         BOOST_LEAF_CHECK(put(identityKey, encodeIdentity(identity_)));
--- a/persimmonlb/store/diskstore_test.cpp
+++ b/persimmonlb/store/diskstore_test.cpp
@@ -95,6 +95,8 @@
 
     static void append(DiskStore &store, std::uint64_t first, std::uint64_t last)
     {
+        const HardState hardState{.term = entry(last).term, .vote = {}};
+        BOOST_TEST_REQUIRE(capture([&] { return store.logStore().setHardState(hardState); }).ok());
         std::vector<LogEntry> entries;
         for (std::uint64_t index = first; index <= last; ++index) {
             entries.push_back(entry(index));
@@ -309,6 +311,8 @@
     BOOST_TEST(capture([&] { return log.beginStaging(); }).ok());
     BOOST_TEST(capture([&] { return log.stage({{"s1", "w"}, {"s2", "w"}}); }).ok());
     const fs::path before = copyOf(main());
+    const HardState later{.term = 7, .vote = {}};
+    BOOST_TEST(capture([&] { return log.setHardState(later); }).ok());
     const SnapshotMark mark{.index = 100, .term = 7, .configuration = "members"};
     BOOST_TEST(capture([&] { return log.installStaged(mark); }).ok());
     BOOST_TEST((store->stateStore().get("s1") == std::optional<std::string>("w")));
--- a/persimmonlb/store/internal/database.h
+++ b/persimmonlb/store/internal/database.h
@@ -20,7 +20,7 @@
 /// Column families of the database.
 enum class Family : std::uint8_t {
     Default, ///< Required by RocksDB; unused.
-    Meta, ///< Identity, hard state, compaction mark, applied index, which state family is in use.
+    Meta, ///< Identity, hard state, compaction mark, which state family is in use.
     Log,
     StateA, ///< One of both holds the state, the other a snapshot being received.
     StateB,
@@ -50,6 +50,8 @@
     [[nodiscard]] std::uint64_t sequence() const;
     /// Makes everything up to `upTo` survive a crash. Thread-safe. Errors: StoreUnavailable.
     Result<void> sync(std::uint64_t upTo);
+    /// A sync had completed before this open.
+    [[nodiscard]] bool wasUsed() const;
     [[nodiscard]] rocksdb::DB &rocks() const;
 
 private:
--- a/persimmonlb/store/internal/diskstate.h
+++ b/persimmonlb/store/internal/diskstate.h
@@ -42,7 +42,7 @@
     [[nodiscard]] Family active() const;
     [[nodiscard]] Family staging() const;
     void putChanges(rocksdb::WriteBatch &batch, const MutationList &changes) const;
-    void putApplied(rocksdb::WriteBatch &batch, std::uint64_t index) const;
+    void putApplied(rocksdb::WriteBatch &batch, Family family, std::uint64_t index) const;
 
     Database &database_;
     bool secondActive_ = false; ///< StateB is in use.
