--- /dev/null
+++ b/scripts/lib/cluster.sh
@@ -0,0 +1,227 @@
+# Functions that start a small system of real processes on loopback and stop it by process id.
+# Source this file; set `bin` to the folder of the programs and `work` to an empty folder first.
+
+pids=()
+declare -A pid_of=()
+
+# Prints a TCP port of 127.0.0.1 on which nothing listens. Ports are taken from a range per caller,
+# so that two scripts at once seldom try the same one.
+free_port() {
+  local port
+  while true; do
+    port=$((20000 + (RANDOM * 7 + RANDOM) % 12000))
+    [ -e "$work/port-$port" ] && continue
+    if ! (exec 3<>"/dev/tcp/127.0.0.1/$port") 2>/dev/null; then
+      : >"$work/port-$port"
+      echo "$port"
+      return
+    fi
+  done
+}
+
+write_keys() {
+  local name
+  for name in mesh operator backend; do
+    (umask 077 && printf '%s-secret-%s\n' "$name" "$RANDOM$RANDOM" >"$work/$name.key")
+  done
+}
+
+# write_settings HOST ZONE ROLES ENTRY_PORT MESH_PORT PEER... (PEER is HOST:MESH_PORT:CONTROL)
+write_settings() {
+  local host=$1 zone=$2 roles=$3 entry_port=$4 mesh_port=$5 peer name port control
+  shift 5
+  mkdir -p "$work/$host"
+  {
+    echo "[host]"
+    echo "id = \"$host\""
+    echo "region = \"sw-ng\""
+    echo "availability_zone = \"$zone\""
+    echo "roles = $roles"
+    echo "data_folder = \"$work/$host/data\""
+    echo "[entry]"
+    echo "listen = \"127.0.0.1:$entry_port\""
+    echo "answer_ttl_ms = ${answer_ttl_ms:-1000}"
+    echo "drain_linger_ms = 200"
+    echo "routing_policy = \"${routing_policy:-affinity}\""
+    echo "[batch]"
+    echo "enabled = ${batch_enabled:-true}"
+    echo "yield = ${batch_yield:-true}"
+    echo "[mesh]"
+    echo "listen = \"127.0.0.1:$mesh_port\""
+    echo "key_file = \"$work/mesh.key\""
+    for peer in "$@"; do
+      IFS=: read -r name port control <<<"$peer"
+      [ "$name" = "$host" ] && continue
+      echo "[[mesh.peer]]"
+      echo "host = \"$name\""
+      echo "address = \"127.0.0.1:$port\""
+      echo "control = $control"
+    done
+    echo "[keys]"
+    echo "operator_key_file = \"$work/operator.key\""
+    echo "backend_key_file = \"$work/backend.key\""
+    echo "[control]"
+    echo "lease_ms = ${lease_ms:-2000}"
+    echo "snapshot_entries = ${snapshot_entries:-100000}"
+    echo "[log]"
+    echo "level = \"${log_level:-info}\""
+  } >"$work/$host/settings.toml"
+}
+
+# start NAME PROGRAM ARG...   Starts a program in the background; its output goes to $work/NAME.log.
+start() {
+  local name=$1
+  shift
+  "$@" >>"$work/$name.log" 2>&1 &
+  pid_of[$name]=$!
+  pids+=("$!")
+}
+
+start_host() {
+  start "$1" "$bin/persimmonlbd" --settings "$work/$1/settings.toml"
+}
+
+# wait_for SECONDS COMMAND...   Runs the command every 100 ms until it succeeds.
+wait_for() {
+  local end=$((SECONDS + $1))
+  shift
+  until "$@" >/dev/null 2>&1; do
+    if [ "$SECONDS" -ge "$end" ]; then
+      echo "gave up waiting for: $*" >&2
+      return 1
+    fi
+    sleep 0.1
+  done
+}
+
+# stop_all   Ends every process that was started here: first by SIGTERM, after 15 s by SIGKILL.
+stop_all() {
+  local pid end=$((SECONDS + ${stop_seconds:-15}))
+  for pid in "${pids[@]}"; do
+    kill -CONT "$pid" 2>/dev/null || true
+    kill -TERM "$pid" 2>/dev/null || true
+  done
+  for pid in "${pids[@]}"; do
+    while kill -0 "$pid" 2>/dev/null && [ "$SECONDS" -lt "$end" ]; do
+      sleep 0.1
+    done
+    kill -KILL "$pid" 2>/dev/null || true
+    wait "$pid" 2>/dev/null || true
+  done
+  pids=()
+}
+
+# plan_hosts N   Chooses ports for host-0 .. host-(N-1), all entry and control, and writes their settings.
+# Sets entry_ports, hosts (for --host) and urls.
+plan_hosts() {
+  local count=$1 i zones=(ife-a ibadan-b osogbo-c akure-d)
+  peers=()
+  entry_ports=()
+  urls=()
+  hosts=
+  for ((i = 0; i < count; i++)); do
+    entry_ports+=("$(free_port)")
+    peers+=("host-$i:$(free_port):true")
+    urls+=("http://127.0.0.1:${entry_ports[$i]}")
+    hosts+=${hosts:+,}127.0.0.1:${entry_ports[$i]}
+  done
+  for ((i = 0; i < count; i++)); do
+    write_settings "host-$i" "${zones[$((i % 4))]}" '["entry", "control"]' "${entry_ports[$i]}" \
+      "$(cut -d: -f2 <<<"${peers[$i]}")" "${peers[@]}"
+  done
+}
+
+# start_group N   Starts host-0 .. host-(N-1) of the plan and the control group of all of them.
+start_group() {
+  local count=$1 i names=()
+  for ((i = 0; i < count; i++)); do
+    names+=("host-$i")
+    start_host "host-$i"
+  done
+  for ((i = 0; i < count; i++)); do
+    wait_for 10 curl -sf "${urls[$i]}/healthz" || return 1
+  done
+  wait_for 10 ctl group init "${names[@]}"
+}
+
+# ctl ARG...   persimmonlbctl as operator.
+ctl() {
+  "$bin/persimmonlbctl" --host "$hosts" --key-file "$work/operator.key" --operator planner "$@"
+}
+
+# start_engine NAME ARG...   Starts a stand-in of a model engine for lettering-lm.
+start_engine() {
+  local name=$1
+  shift
+  start "$name" "$bin/fakeengine" --listen "127.0.0.1:$(free_port)" --server "$name" \
+    --service lettering-lm --kind engine --announce "$hosts" \
+    --backend-key-file "$work/backend.key" --model lettering-7b --version 1 --run-seconds 180 "$@"
+}
+
+# start_plain NAME ARG...   Starts a stand-in of the plain service booking-app.
+start_plain() {
+  local name=$1
+  shift
+  start "$name" "$bin/fakeengine" --listen "127.0.0.1:$(free_port)" --server "$name" \
+    --service booking-app --kind plain --announce "$hosts" \
+    --backend-key-file "$work/backend.key" --run-seconds 180 "$@"
+}
+
+# servers_ready N   True when every host sees at least N ready backend servers.
+servers_ready() {
+  local url count
+  for url in "${urls[@]}"; do
+    count=$("$bin/persimmonlbctl" --host "${url#http://}" --key-file "$work/operator.key" --json \
+      server list | grep -o '"state":"ready"' | wc -l)
+    [ "$count" -ge "$1" ] || return 1
+  done
+}
+
+# sheet_in_force   True when the sheet is in force everywhere.
+sheet_in_force() {
+  ctl --json sheet status | grep -q '"in_force_everywhere":true'
+}
+
+# group_field HOST_INDEX FIELD   Prints a field of a host's group status.
+group_field() {
+  curl -sS --max-time 2 -H "Authorization: Bearer $(cat "$work/operator.key")" \
+    "${urls[$1]}/v1/admin/group" | grep -o "\"$2\":\"[^\"]*\"" | cut -d'"' -f4
+}
+
+# leader_index   Prints the index of the host that leads, as the first host that answers says.
+leader_index() {
+  local i leader
+  for i in "${!urls[@]}"; do
+    leader=$(group_field "$i" leader 2>/dev/null || true)
+    if [ -n "$leader" ]; then
+      echo "${leader#host-}"
+      return 0
+    fi
+  done
+  return 1
+}
+
+# kill_now NAME   Ends a process that was started here by SIGKILL.
+kill_now() {
+  kill -KILL "${pid_of[$1]}" 2>/dev/null || true
+  wait "${pid_of[$1]}" 2>/dev/null || true
+}
+
+# write_job FILE COUNT [IDEMPOTENT [MAX_TOKENS]]   Writes a batch job of COUNT items.
+write_job() {
+  local i
+  for ((i = 1; i <= $2; i++)); do
+    echo "{\"custom_id\":\"item-$i\",\"idempotent\":${3:-true},\"body\":{\"model\":\"lettering-lm\",\"max_tokens\":${4:-4},\"messages\":[{\"role\":\"user\",\"content\":\"draft $i\"}]}}"
+  done >"$1"
+}
+
+# market ARG...   persimmonlbctl as the caller market.
+market() {
+  [ -e "$work/market.key" ] || (umask 077 && echo market-key >"$work/market.key")
+  "$bin/persimmonlbctl" --host "$hosts" --caller market --key-file "$work/market.key" "$@"
+}
+
+# submit_job FILE   Submits a job of the caller market and prints its id.
+submit_job() {
+  market --json job submit --service lettering-lm "$1" | grep -o 'job-[0-9a-f]*' | head -1
+}
