--- a/persimmonlb/jobs/jobqueries.cpp
+++ b/persimmonlb/jobs/jobqueries.cpp
@@ -135,6 +135,17 @@
     return entry == queues_.end() ? 0 : entry->second->pending;
 }
 
+std::vector<ServiceName> JobTable::pendingServices() const
+{
+    std::vector<ServiceName> services;
+    for (const auto &[service, serviceQueue] : queues_) {
+        if (serviceQueue->pending > 0) {
+            services.push_back(service);
+        }
+    }
+    return services;
+}
+
 std::set<Owner> JobTable::owners() const
 {
     std::set<Owner> owners;
--- a/persimmonlb/jobs/jobtable.h
+++ b/persimmonlb/jobs/jobtable.h
@@ -68,6 +68,8 @@
     [[nodiscard]] JobListAnswer list(const JobListQuery &query) const;
     [[nodiscard]] ResultsAnswer results(const ResultsQuery &query) const;
     [[nodiscard]] std::uint64_t pendingItems(const ServiceName &service) const;
+    /// Services with items that wait.
+    [[nodiscard]] std::vector<ServiceName> pendingServices() const;
     /// Owners that hold leases.
     [[nodiscard]] std::set<Owner> owners() const;
     /// Jobs cancelled within the last minute of command time.
--- a/persimmonlb/sheet/sheet_test.cpp
+++ b/persimmonlb/sheet/sheet_test.cpp
@@ -1,3 +1,5 @@
+#include <fstream>
+#include <iterator>
 #include <random>
 #include <string>
 
@@ -105,6 +107,18 @@
     BOOST_TEST(messageOf("number = \n").starts_with("line "));
 }
 
+BOOST_DATA_TEST_CASE(theExampleSheetsCheck,
+                     boost::unit_test::data::make({"sheet.toml", "ileoja/sheet.toml",
+                                                   "bulag/sheet.toml"}),
+                     name)
+{
+    std::ifstream file(std::string(PERSIMMONLB_SOURCE_DIR) + "/examples/" + name);
+    const std::string text{std::istreambuf_iterator<char>(file), {}};
+    const auto sheet = capture([&] { return parseSheet(text); });
+    BOOST_TEST_REQUIRE(sheet.ok());
+    BOOST_TEST(sheet.value().services.size() == 2U);
+}
+
 BOOST_AUTO_TEST_CASE(textOnWhichTheLibraryAssertsIsAnErrorLikeAnyOther)
 {
     BOOST_TEST(!messageOf("[;").empty());
--- a/persimmonlb/state/hosttable.cpp
+++ b/persimmonlb/state/hosttable.cpp
@@ -37,7 +37,7 @@
                             .address = command.address,
                             .availabilityZone = command.availabilityZone,
                             .region = command.region,
-                            .draining = known.draining};
+                            .draining = known.draining && known.owner == command.owner};
     if (record != known) {
         known = record;
         write(known, changes);
--- a/persimmonlb/state/hosttable.h
+++ b/persimmonlb/state/hosttable.h
@@ -23,8 +23,8 @@
     bool operator==(const HostRecord &) const = default;
 };
 
-/// Entry hosts by their latest incarnation, and their drain marks. A host may be marked before it
-/// registers. Deterministic; not thread-safe.
+/// Entry hosts by their latest incarnation, and their drain marks. A new incarnation takes the mark
+/// away: a drained host was stopped, and its restart serves again. Deterministic; not thread-safe.
 class HostTable
 {
 public:
--- a/persimmonlb/state/replicatedstate.h
+++ b/persimmonlb/state/replicatedstate.h
@@ -17,6 +17,7 @@
 #include "persimmonlb/state/query.h"
 #include "persimmonlb/state/statemachine.h"
 #include "persimmonlb/store/statestore.h"
+#include "persimmonlb/wire/message.h"
 
 namespace persimmonlb
 {
@@ -66,9 +67,12 @@
     /// Version of the answer to EntryStateQuery.
     [[nodiscard]] std::uint64_t entryStateVersion() const;
     [[nodiscard]] std::uint64_t pendingItems(const ServiceName &service) const;
-    [[nodiscard]] const std::map<HostId, HostRecord> &hosts() const;
+    /// Services with items that wait.
+    [[nodiscard]] std::vector<ServiceName> pendingServices() const;
+    /// Entry hosts as registered, without their lease and mesh address.
+    [[nodiscard]] std::vector<EntryHostInfo> registeredHosts() const;
     [[nodiscard]] std::set<HostId> drainingHosts() const;
-    /// Registered owners, and all that hold leases on items or claims.
+    /// Owners that hold leases on items or claims: those that a release would take from.
     [[nodiscard]] std::vector<Owner> owners() const;
     /// Claims of an owner that have no outcome.
     [[nodiscard]] std::size_t runningClaims(const Owner &owner) const;
