--- a/persimmonlb/membership/servertable.h
+++ b/persimmonlb/membership/servertable.h
@@ -80,7 +80,8 @@
     /// prolongs them.
     void tick();
 
-    /// Takes an announcement that the server sent to this host.
+    /// Takes an announcement that the server sent to this host. One that is heard again renews
+    /// nothing.
     TableChange announce(const ServerAnnouncement &announcement);
 
     /// Takes a peer's digest. Old and doubled digests change nothing.
@@ -120,22 +121,25 @@
 private:
     struct Row {
         ServerAnnouncement announcement;
-        MonotonicTime madeAfter; ///< The newest ready announcement was made after this.
-        MonotonicTime heardAt; ///< Any announcement, for forgetting.
+        /// The newest ready announcement was made after this; nothing when it cannot be dated.
+        std::optional<MonotonicTime> madeAfter;
+        MonotonicTime heardAt; ///< The newest word, whatever path it came by.
         std::optional<MonotonicTime> firstHandAt;
-        bool everReady = false;
+        bool everRoutable = false;
         bool lostReported = false;
     };
     struct Peer {
-        std::uint64_t sequence = 0;
+        std::uint64_t sequence = 0; ///< Of its newest digest.
         MonotonicTime heardAt;
-        std::map<std::uint64_t, MonotonicTime> sentAt; ///< Of our digests to it, by sequence.
-        std::uint64_t nextSequence = 1;
         std::map<ServerId, ServerDigestRow> rows;
+        std::uint64_t sentSequence = 0;
+        std::map<std::uint64_t, MonotonicTime> sentAt; ///< Of our digests to it, by sequence.
     };
 
-    TableChange take(const ServerAnnouncement &announcement, MonotonicTime madeAfter);
-    [[nodiscard]] KnownServer describeRow(const Row &row) const;
+    TableChange take(const ServerAnnouncement &announcement,
+                     std::optional<MonotonicTime> madeAfter);
+    [[nodiscard]] KnownServer describe(const Row &row) const;
+    [[nodiscard]] std::uint32_t ageOf(const Row &row) const;
     [[nodiscard]] bool routable(const Row &row) const;
     [[nodiscard]] bool isFirstHand(const Row &row) const;
     [[nodiscard]] bool isLive(const Peer &peer) const;
@@ -144,6 +148,7 @@
     Clock clock_;
     MonotonicTime lastTick_;
     MonotonicTime tickBefore_;
+    std::uint64_t firstSequence_ = 1; ///< Above those of this host's earlier starts.
     bool changed_ = false;
     std::map<ServerId, Row> rows_;
     std::map<HostId, Peer> peers_;
