--- a/persimmonlb/routing/concurrencylimit.h
+++ b/persimmonlb/routing/concurrencylimit.h
@@ -11,16 +11,20 @@
     std::uint32_t initial = 16; ///< For a server that does not announce its slots.
     std::uint32_t least = 1;
     std::uint32_t most = 512;
-    /// Latency above this multiple of the best recent latency lowers the limit.
+    /// A recent time to first byte above this multiple of the long-run one lowers the limit.
     double tolerance = 2.0;
+    Milliseconds slack{10}; ///< Differences below this never lower the limit.
     double decrease = 0.9;
+
+    bool operator==(const ConcurrencyOptions &) const = default;
 };
 
 /// Adaptive bound of the requests in flight on one backend server.
 ///
 /// Raises the bound by one per full round of good answers while the bound is in use, lowers it by a
-/// factor when the time to first byte grows above the tolerance or the server refuses. Never above
-/// the slots that the server announces. Pure: time comes in as measured latencies.
+/// factor when the recent time to first byte grows above the tolerance or the server refuses, at most
+/// once per round. Never above the slots that the server announces. Comparing a recent mean with a
+/// long-run mean keeps a mix of short and long prompts from looking like overload.
 class ConcurrencyLimit
 {
 public:
@@ -37,14 +41,15 @@
     [[nodiscard]] std::uint32_t limit() const;
 
 private:
+    [[nodiscard]] double most() const;
     void lower();
 
     ConcurrencyOptions options_;
     std::uint32_t slots_;
     double limit_;
-    double bestMs_ = 0;
+    double longRunMs_ = 0;
     double recentMs_ = 0;
-    std::uint32_t sinceLowered_ = 0;
+    std::uint32_t answersSinceLowered_ = 0;
 };
 
 } // namespace persimmonlb
--- a/persimmonlb/routing/policy.h
+++ b/persimmonlb/routing/policy.h
@@ -16,8 +16,7 @@
 struct Candidate {
     ServerId server;
     std::uint32_t inFlight = 0; ///< Online and batch, of every entry host as far as known.
-    std::uint32_t limit = 0; ///< Most requests in flight that do not harm latency.
-    bool hasRoom = false;
+    std::uint32_t limit = 1; ///< Most requests in flight that do not harm latency.
 
     bool operator==(const Candidate &) const = default;
 };
@@ -30,13 +29,21 @@
     bool operator==(const PolicyQuery &) const = default;
 };
 
-/// Returns the index of the chosen candidate; only candidates with room are given, at least one.
+/// Returns the index of the chosen candidate. At least one is given, ordered by server.
 using RoutingPolicy
     = std::function<std::size_t(const PolicyQuery &query, std::span<const Candidate> candidates)>;
 
-/// Rendezvous hash of service and prompt prefix, so that equal prefixes meet a warm cache. A winner
-/// that is loaded above `bound` times the mean gives way to the less loaded of it and the second.
-RoutingPolicy affinityPolicy(double bound = 1.25);
+struct AffinityOptions {
+    double bound = 1.25; ///< Load above this multiple of the mean sends a request on.
+    double freeShare = 0.25; ///< Load below this share of the limit never does.
+
+    bool operator==(const AffinityOptions &) const = default;
+};
+
+/// Rendezvous hash of service and prompt prefix, so that equal prefixes meet a warm cache. A server
+/// that is loaded above the bound gives way to the next in the order of the hash; when all are, the
+/// least loaded is taken.
+RoutingPolicy affinityPolicy(AffinityOptions options = {});
 /// The server with the fewest requests in flight for its limit; ties by `random`.
 RoutingPolicy leastInFlightPolicy(RandomSource random);
 RoutingPolicy roundRobinPolicy();
--- a/persimmonlb/routing/quota.h
+++ b/persimmonlb/routing/quota.h
@@ -54,6 +54,8 @@
         double perSecond = 0;
         MonotonicTime demandAt;
         double published = 0;
+        MonotonicTime publishedAt;
+        bool isNew = true;
     };
     struct PeerDemand {
         MonotonicTime at;
--- a/persimmonlb/routing/router.h
+++ b/persimmonlb/routing/router.h
@@ -1,11 +1,11 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <list>
 #include <map>
-#include <memory>
-#include <string>
+#include <optional>
 #include <vector>
 
 #include "persimmonlb/base/clock.h"
@@ -22,6 +22,7 @@
     std::uint32_t maxQueuePerService = 256;
     Milliseconds ejection{2000}; ///< A server that just failed gets no work for this long.
     Milliseconds peakWindow{10000}; ///< onlinePeak() looks back this far.
+    std::uint32_t errorsToEject = 3; ///< Errors in a row; a broken connection ejects at once.
     ConcurrencyOptions concurrency;
 };
 
@@ -61,7 +62,7 @@
 struct RouterHooks {
     /// The choosing policy; affinityPolicy() when empty.
     RoutingPolicy policy;
-    /// An online request will wait for this server, which runs batch work.
+    /// An online request goes to a server that batch work has filled.
     std::function<void(const ServerId &server, std::uint32_t slots)> wantYield;
 };
 
@@ -117,38 +118,51 @@
 private:
     struct Ticket {
         ServerId server;
+        ServiceName service;
         bool suspect = false;
-        MonotonicTime startedAt;
         bool answered = false;
+        MonotonicTime startedAt;
     };
     struct PeakSample {
         MonotonicTime at;
         std::uint32_t value = 0;
     };
     struct ServerNotes {
-        std::unique_ptr<ConcurrencyLimit> limit;
+        std::optional<ConcurrencyLimit> limit;
         std::uint64_t incarnation = 0;
         MonotonicTime ejectedUntil;
+        std::uint32_t errorsInRow = 0;
         std::uint32_t suspects = 0;
-        std::list<PeakSample> peak;
+        std::deque<PeakSample> peak; ///< Falling values, oldest first.
     };
     struct Waiter {
         std::uint64_t id = 0;
         RouteQuery query;
         Acquired done;
     };
+    /// A ready server with its bound and load.
+    struct Option {
+        KnownServer known;
+        std::uint32_t limit = 1;
+        std::uint32_t suspects = 0;
+        bool ejected = false;
+
+        [[nodiscard]] std::uint32_t online() const;
+        [[nodiscard]] std::uint32_t total() const;
+    };
 
-    [[nodiscard]] std::vector<Candidate> candidates(const RouteQuery &query) const;
-    [[nodiscard]] Candidate describe(const KnownServer &server) const;
-    [[nodiscard]] bool hasRoom(const Candidate &candidate) const;
-    Choice take(const RouteQuery &query, const KnownServer &server);
-    ServerNotes &notes(const ServerId &server);
-    void notePeak(const ServerId &server);
+    std::vector<Option> optionsFor(const RouteQuery &query);
+    Outcome<Choice> chooseAmong(const RouteQuery &query, const std::vector<Option> &ready);
+    [[nodiscard]] const Option &pick(const RouteQuery &query,
+                                     const std::vector<const Option *> &open) const;
+    Choice take(const RouteQuery &query, const Option &option);
+    ServerNotes &notes(const KnownServer &known);
+    void notePeak(const ServerId &server, ServerNotes &notes);
+    void noteEnd(const Ticket &ticket, RouteEnd end);
     void serveWaiters(const ServiceName &service);
-    [[nodiscard]] Milliseconds expectedWait(const RouteQuery &query,
-                                            const std::vector<Candidate> &candidates) const;
-    void askForYield(const std::vector<Candidate> &candidates);
-    Error overloaded(Milliseconds retryAfter) const;
+    void expireWaiters();
+    [[nodiscard]] Milliseconds expectedWait(const ServiceName &service, std::size_t ahead,
+                                            const std::vector<Option> &ready) const;
 
     RouterOptions options_;
     Clock clock_;
@@ -158,7 +172,7 @@
     std::map<ServerId, ServerNotes> notes_;
     std::map<std::uint64_t, Ticket> tickets_;
     std::map<ServiceName, std::list<Waiter>> waiting_;
-    std::map<ServiceName, double> serviceMs_; ///< Recent mean time that a request holds its place.
+    std::map<ServiceName, double> heldMs_; ///< Recent mean time that a request holds its place.
     std::uint64_t nextTicket_ = 1;
     std::uint64_t nextWaiter_ = 1;
 };
