--- a/persimmonlb/routing/concurrencylimit.h
+++ b/persimmonlb/routing/concurrencylimit.h
@@ -22,9 +22,9 @@
 /// Adaptive bound of the requests in flight on one backend server.
 ///
 /// Raises the bound by one per full round of good answers while the bound is in use, lowers it by a
-/// factor when the recent time to first byte grows above the tolerance or the server refuses, at most
-/// once per round. Never above the slots that the server announces. Comparing a recent mean with a
-/// long-run mean keeps a mix of short and long prompts from looking like overload.
+/// factor when the recent time to first byte grows above the tolerance or the server refuses, at
+/// most once per round. Never above the slots that the server announces. Comparing a recent mean
+/// with a long-run mean keeps a mix of short and long prompts from looking like overload.
 class ConcurrencyLimit
 {
 public:
--- a/persimmonlb/routing/policy.cpp
+++ b/persimmonlb/routing/policy.cpp
@@ -77,10 +77,10 @@
 
 RoutingPolicy leastInFlightPolicy(RandomSource random)
 {
-    return [random = std::move(random)](const PolicyQuery &,
-                                        std::span<const Candidate> candidates) {
-        return leastLoaded(candidates, random() % candidates.size());
-    };
+    return
+        [random = std::move(random)](const PolicyQuery &, std::span<const Candidate> candidates) {
+            return leastLoaded(candidates, random() % candidates.size());
+        };
 }
 
 RoutingPolicy roundRobinPolicy()
@@ -93,10 +93,10 @@
 
 RoutingPolicy randomPolicy(RandomSource random)
 {
-    return [random = std::move(random)](const PolicyQuery &,
-                                        std::span<const Candidate> candidates) {
-        return static_cast<std::size_t>(random() % candidates.size());
-    };
+    return
+        [random = std::move(random)](const PolicyQuery &, std::span<const Candidate> candidates) {
+            return static_cast<std::size_t>(random() % candidates.size());
+        };
 }
 
 std::optional<RoutingPolicy> routingPolicyByName(std::string_view name, RandomSource random)
--- a/persimmonlb/routing/router.cpp
+++ b/persimmonlb/routing/router.cpp
@@ -135,11 +135,15 @@
 const Router::Option &Router::pick(const RouteQuery &query,
                                    const std::vector<const Option *> &open) const
 {
+    for (const Option *option : open) {
+        if (!query.preferred.empty() && option->known.announcement.server == query.preferred) {
+            return *option;
+        }
+    }
     if (query.suspect) {
-        return **std::min_element(open.begin(), open.end(),
-                                  [](const Option *left, const Option *right) {
-                                      return left->total() < right->total();
-                                  });
+        return **std::min_element(
+            open.begin(), open.end(),
+            [](const Option *left, const Option *right) { return left->total() < right->total(); });
     }
     std::vector<Candidate> candidates;
     candidates.reserve(open.size());
@@ -180,8 +184,8 @@
 {
     const std::vector<Option> ready = optionsFor(query);
     std::list<Waiter> &queue = waiting_[query.service];
-    Outcome<Choice> choice = queue.empty() ? chooseAmong(query, ready)
-                                           : Outcome<Choice>(overloaded(leastRetryAfter));
+    Outcome<Choice> choice
+        = queue.empty() ? chooseAmong(query, ready) : Outcome<Choice>(overloaded(leastRetryAfter));
     if (ready.empty()) {
         choice = noServer();
     }
@@ -297,6 +301,14 @@
     serveWaiters(ticket.service);
 }
 
+void Router::readmit(const ServerId &server)
+{
+    const auto noted = notes_.find(server);
+    if (noted != notes_.end()) {
+        noted->second.ejectedUntil = MonotonicTime{};
+    }
+}
+
 void Router::noteEnd(const Ticket &ticket, RouteEnd end)
 {
     ServerNotes &noted = notes_[ticket.server];
--- a/persimmonlb/routing/router.h
+++ b/persimmonlb/routing/router.h
@@ -33,6 +33,7 @@
     std::string version; ///< Of the sheet in force; empty: any.
     std::uint64_t prefixHash = 0; ///< Of the prompt's beginning.
     std::vector<ServerId> exclude; ///< Tried already; never chosen again.
+    ServerId preferred; ///< Chosen when it has room; empty: none.
     bool suspect = false; ///< Only servers that run no other suspect of this host.
     MonotonicTime deadline; ///< Until when the answer must be whole.
 
@@ -95,6 +96,8 @@
 
     /// Gives the place back and learns from the end.
     void finished(const Choice &choice, RouteEnd end);
+    /// A server that was ejected turned out to live.
+    void readmit(const ServerId &server);
     /// The first byte of the answer came: the basis of the adaptive bound.
     void firstByte(const Choice &choice);
 
--- /dev/null
+++ b/persimmonlb/serving/callerrequest.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+#include "persimmonlb/base/clock.h"
+#include "persimmonlb/base/error.h"
+#include "persimmonlb/base/ids.h"
+#include "persimmonlb/http/message.h"
+#include "persimmonlb/sheet/sheet.h"
+
+namespace persimmonlb
+{
+
+/// A caller's request that was read and checked.
+struct CallerRequest {
+    CallerName caller;
+    ServiceName service;
+    ServiceKind kind = ServiceKind::Engine;
+    ModelName model; ///< Of the sheet; empty for a plain service.
+    std::string version;
+    bool idempotent = true;
+    std::string idempotencyKey;
+    std::string requestId; ///< As the caller sent it, or empty.
+    Milliseconds deadline{0}; ///< From receipt.
+    bool stream = false;
+    std::uint64_t prefixHash = 0; ///< Of the prompt's beginning; 0 for a plain service.
+    std::string fingerprint; ///< Equal for requests that would run the same.
+    HttpRequest toServer; ///< Without the headers that belong to one attempt.
+
+    bool operator==(const CallerRequest &) const = default;
+};
+
+/// Reads POST /v1/chat/completions; `prefixBytes` of the prompt decide affinity.
+/// Errors: MalformedRequest, Unauthorized, UnknownService, MissingIdempotencyKey.
+Outcome<CallerRequest> readChatRequest(const HttpRequest &request, const Sheet &sheet,
+                                       std::size_t prefixBytes);
+
+/// Reads ANY /services/NAME/PATH. Errors: as readChatRequest().
+Outcome<CallerRequest> readPlainRequest(const HttpRequest &request, const Sheet &sheet);
+
+/// The headers of a server's answer that go on to the caller, with the caller's request id.
+HttpHeaders answerHeaders(const HttpHeaders &fromServer, const std::string &requestId);
+
+} // namespace persimmonlb
--- a/persimmonlb/serving/onlineservice.h
+++ b/persimmonlb/serving/onlineservice.h
@@ -31,6 +31,14 @@
     std::uint32_t maxResumes = 2; ///< Of one broken stream.
     std::uint32_t maxAttempts = 3; ///< Of one idempotent request.
     std::uint64_t maxRecordedAnswerBytes = 4ULL * 1024 * 1024;
+    /// An answer up to this size is passed on whole; a longer one in chunks as it comes.
+    std::uint64_t maxHeldAnswerBytes = 8ULL * 1024 * 1024;
+    /// A once-only request that its caller no longer waits for is watched this much longer, so that
+    /// a resend gets its answer.
+    Milliseconds onceOnlyLinger{30000};
+    /// The answer of a once-only request waits at most this long for its record in the log.
+    Milliseconds recordWait{500};
+    RetryBudgetOptions retryBudget;
     Milliseconds defaultRetryAfter{500};
     /// Bytes that may wait for a slow caller before the server's answer is paused.
     std::uint64_t maxUnwrittenBytes = 256ULL * 1024;
@@ -92,18 +100,16 @@
     void handleChat(HttpRequest request, std::shared_ptr<HttpResponder> responder);
     void handlePlain(HttpRequest request, std::shared_ptr<HttpResponder> responder);
 
-    /// Requests whose answer has not ended.
+    /// Requests whose answer has not ended or whose outcome is not yet recorded.
     [[nodiscard]] std::size_t openRequests() const;
 
     /// A server was lost by silence: its exchanges are ended as broken.
     void serverLost(const ServerId &server);
 
 private:
-    struct State;
-    std::unique_ptr<State> state_;
+    struct Parts;
+    RandomSource random_;
+    std::unique_ptr<Parts> parts_;
 };
 
-/// The JSON error body of INTERFACE.md, with status and Retry-After.
-HttpResponse errorResponse(const Error &error, const std::vector<std::string> &otherHosts = {});
-
 } // namespace persimmonlb
