--- a/persimmonlb/daemon/entryrole.cpp
+++ b/persimmonlb/daemon/entryrole.cpp
@@ -411,7 +411,7 @@
         = [this](const ServerId &server, const std::vector<std::string> &fingerprints) {
               const auto known = servers.find(server);
               suspects.serverLost(server, known ? known->announcement.incarnation : 0, fingerprints,
-                                  [](const Outcome<Done> &) {});
+                                  [](LossVerdict) {});
           };
     return hooks;
 }
