--- a/persimmonlb/wire/internal/messagefields.h
+++ b/persimmonlb/wire/internal/messagefields.h
@@ -63,6 +63,7 @@
     archive.field("m", message.matchIndex);
     archive.field("h", message.hintIndex);
     archive.field("r", message.round);
+    archive.field("d", message.disk);
 }
 
 template <typename Archive>
--- a/persimmonlb/wire/message_test.cpp
+++ b/persimmonlb/wire/message_test.cpp
@@ -51,7 +51,8 @@
                       .entries = {{1, 2, EntryKind::Command, anyBytes},
                                   {3, 4, EntryKind::Configuration, ""},
                                   {5, 6, EntryKind::NoOperation, "x"}}},
-        AppendReply{.term = 1, .success = true, .matchIndex = 2, .hintIndex = 3, .round = 4},
+        AppendReply{
+            .term = 1, .success = true, .matchIndex = 2, .hintIndex = 3, .round = 4, .disk = 5},
         SnapshotChunk{.term = 1,
                       .lastIndex = 2,
                       .lastTerm = 3,
