--- a/persimmonlb/control/controlservice.cpp
+++ b/persimmonlb/control/controlservice.cpp
@@ -111,7 +111,7 @@
 void ControlService::leadershipBegan()
 {
     leases_.leadershipBegan();
-    released_.clear();
+    releasing_.clear();
 }
 
 void ControlService::tick()
@@ -119,14 +119,7 @@
     if (!hooks_.isLeader()) {
         return;
     }
-    const std::vector<Owner> lapsed = leases_.lapsed(hooks_.owners());
-    const std::set<Owner> stillLapsed(lapsed.begin(), lapsed.end());
-    std::erase_if(released_, [&](const Owner &owner) { return !stillLapsed.contains(owner); });
-    for (const Owner &owner : lapsed) {
-        // An owner that came back for a moment may hold something again.
-        if (released_.contains(owner) && !hooks_.holdsAnything(owner)) {
-            continue;
-        }
+    for (const Owner &owner : leases_.lapsed(hooks_.owners())) {
         release(owner);
     }
 }
@@ -141,12 +134,7 @@
         .add("incarnation", static_cast<std::int64_t>(owner.incarnation))
         .write();
     hooks_.propose(encodeCommand(ReleaseOwner{owner, clock_.wall()}),
-                   [this, owner](const Outcome<std::string> &outcome) {
-                       releasing_.erase(owner);
-                       if (outcome.ok()) {
-                           released_.insert(owner);
-                       }
-                   });
+                   [this, owner](const Outcome<std::string> &) { releasing_.erase(owner); });
 }
 
 } // namespace persimmonlb
--- a/persimmonlb/control/controlservice.h
+++ b/persimmonlb/control/controlservice.h
@@ -26,10 +26,8 @@
     std::function<void(std::function<void(Outcome<Done>)> done)> readBarrier;
     std::function<Answer(const Query &)> answer;
     std::function<InForce()> inForce;
-    /// Registered owners, and all that hold leases on items or claims.
+    /// Owners that hold leases on items or claims.
     std::function<std::vector<Owner>()> owners;
-    /// Whether an owner holds a lease on an item or a claim without outcome.
-    std::function<bool(const Owner &)> holdsAnything;
     std::function<bool(const HostId &to, PeerBody body)> send;
 };
 
@@ -59,7 +57,6 @@
     HostId self_;
     LeaseTable leases_;
     std::set<Owner> releasing_; ///< A release is under way.
-    std::set<Owner> released_; ///< Lapsed and released; asked for again once they lived anew.
 };
 
 } // namespace persimmonlb
--- a/persimmonlb/daemon/entryrole.cpp
+++ b/persimmonlb/daemon/entryrole.cpp
@@ -104,16 +104,7 @@
                                  yieldBatch(server, slots);
                              }})
     , quota(QuotaOptions{}, deps.clock)
-    , suspects(suspectsOptions(deps), deps.clock,
-               SuspectsHooks{
-                   .propose =
-                       [this](const Command &command, std::function<void(Outcome<Reply>)> done) {
-                           control.propose(command, std::move(done));
-                       },
-                   .after =
-                       [this](Milliseconds delay, std::function<void()> fn) {
-                           deps.timers.after(delay, std::move(fn));
-                       }})
+    , suspects(suspectsOptions(deps), deps.clock, suspectsHooks())
     , lease(leaseOptions(deps), deps.clock, leaseHooks())
     , online(onlineOptions(deps), deps.clock, deps.random, router, quota, suspects, onlineHooks())
     , dispatcher(dispatcherOptions(deps), deps.clock, dispatcherHooks())
@@ -257,6 +248,44 @@
     return client->start(address, std::move(request), deadline, std::move(hooks));
 }
 
+void EntryRole::Parts::fetchEntryState(std::function<void(Outcome<EntryStateAnswer>)> done)
+{
+    control.query(EntryStateQuery{}, [done = std::move(done)](const Outcome<Answer> &answer) {
+        if (!answer.ok()) {
+            done(answer.error());
+            return;
+        }
+        const auto *state = std::get_if<EntryStateAnswer>(&answer.value());
+        done(state != nullptr
+                 ? Outcome<EntryStateAnswer>(*state)
+                 : Outcome<EntryStateAnswer>(makeError(ResultCode::Internal, "not a state")));
+    });
+}
+
+SuspectsHooks EntryRole::Parts::suspectsHooks()
+{
+    SuspectsHooks hooks;
+    hooks.propose = [this](const Command &command, std::function<void(Outcome<Reply>)> done) {
+        control.propose(command, std::move(done));
+    };
+    hooks.after = [this](Milliseconds delay, std::function<void()> fn) {
+        deps.timers.after(delay, std::move(fn));
+    };
+    hooks.fetchState = [this](std::function<void(Outcome<EntryStateAnswer>)> done) {
+        fetchEntryState(std::move(done));
+    };
+    hooks.probe
+        = [this](const ServerId &id, std::function<void(Outcome<ServerAnnouncement>)> done) {
+              const auto known = servers.find(id);
+              if (!known) {
+                  done(makeError(ResultCode::NotFound, "no server " + id.value));
+                  return;
+              }
+              askState(id, known->announcement.address, std::move(done));
+          };
+    return hooks;
+}
+
 LeaseKeeperHooks EntryRole::Parts::leaseHooks()
 {
     LeaseKeeperHooks hooks;
@@ -274,16 +303,7 @@
         });
     };
     hooks.fetchEntryState = [this](std::function<void(Outcome<EntryStateAnswer>)> done) {
-        control.query(EntryStateQuery{}, [done](const Outcome<Answer> &answer) {
-            if (!answer.ok()) {
-                done(answer.error());
-                return;
-            }
-            const auto *state = std::get_if<EntryStateAnswer>(&answer.value());
-            done(state != nullptr
-                     ? Outcome<EntryStateAnswer>(*state)
-                     : Outcome<EntryStateAnswer>(makeError(ResultCode::Internal, "not a state")));
-        });
+        fetchEntryState(std::move(done));
     };
     hooks.sheetChanged = [this](const std::shared_ptr<const Sheet> &sheet) {
         quota.setSheet(sheet);
@@ -514,37 +534,52 @@
     }
 }
 
+void EntryRole::Parts::askState(const ServerId &id, const std::string &address,
+                                std::function<void(Outcome<ServerAnnouncement>)> done)
+{
+    const std::uint64_t probe = nextProbe++;
+    const auto body = std::make_shared<std::string>();
+    HttpExchangeHooks hooks;
+    hooks.head = [](const HttpResponseHead &) {
+    };
+    hooks.chunk = [body](const std::string &chunk) {
+        *body += chunk;
+    };
+    hooks.end = [this, id, probe, body, done = std::move(done)](const HttpExchangeEnd &end) {
+        // The exchange is destroyed outside of its own callback.
+        deps.timers.after(Milliseconds(0), [this, probe] { probes.erase(probe); });
+        if (end.code != ResultCode::Ok) {
+            done(makeError(end.code, end.message));
+            return;
+        }
+        Outcome<ServerAnnouncement> said = capture([&] { return parseAnnouncement(*body); });
+        if (said.ok() && said.value().server != id) {
+            said = makeError(ResultCode::NotFound, "another server answers at this address");
+        }
+        done(std::move(said));
+    };
+    HttpRequest request;
+    request.method = "GET";
+    request.target = "/state";
+    constexpr Milliseconds probeTimeout{1000};
+    probes[probe] = sendToServer(address, std::move(request), probeTimeout, std::move(hooks));
+}
+
 void EntryRole::Parts::probeServers()
 {
     for (const KnownServer &known : servers.wantProbe()) {
         const ServerId id = known.announcement.server;
-        if (probes.contains(id)) {
+        if (!probing.insert(id).second) {
             continue;
         }
         const MonotonicTime askedAt = deps.clock.monotonic();
-        const auto body = std::make_shared<std::string>();
-        HttpExchangeHooks hooks;
-        hooks.head = [](const HttpResponseHead &) {
-        };
-        hooks.chunk = [body](const std::string &chunk) {
-            *body += chunk;
-        };
-        hooks.end = [this, id, askedAt, body](const HttpExchangeEnd &end) {
-            if (end.code == ResultCode::Ok) {
-                const auto said = capture([&] { return parseAnnouncement(*body); });
-                if (said.ok() && said.value().server == id) {
-                    servers.takeProbe(said.value(), askedAt);
-                }
-            }
-            // The exchange is destroyed outside of its own callback.
-            deps.timers.after(Milliseconds(0), [this, id] { probes.erase(id); });
-        };
-        HttpRequest request;
-        request.method = "GET";
-        request.target = "/state";
-        constexpr Milliseconds probeTimeout{1000};
-        probes[id] = sendToServer(known.announcement.address, std::move(request), probeTimeout,
-                                  std::move(hooks));
+        askState(id, known.announcement.address,
+                 [this, id, askedAt](const Outcome<ServerAnnouncement> &said) {
+                     probing.erase(id);
+                     if (said.ok()) {
+                         servers.takeProbe(said.value(), askedAt);
+                     }
+                 });
     }
 }
 
--- a/persimmonlb/daemon/internal/entryparts.h
+++ b/persimmonlb/daemon/internal/entryparts.h
@@ -44,6 +44,8 @@
                                                Milliseconds deadline, HttpExchangeHooks hooks);
 
     // Wiring.
+    void fetchEntryState(std::function<void(Outcome<EntryStateAnswer>)> done);
+    SuspectsHooks suspectsHooks();
     LeaseKeeperHooks leaseHooks();
     ApiDeps apiDeps();
     OperatorDeps operatorDeps();
@@ -64,6 +66,8 @@
     // Periodic work.
     void sendDigests();
     void probeServers();
+    void askState(const ServerId &id, const std::string &address,
+                  std::function<void(Outcome<ServerAnnouncement>)> done);
     void endLostServers();
     void yieldBatch(const ServerId &server, std::uint32_t slots);
     void noteRequestEnd(const RequestEnd &end);
@@ -84,7 +88,9 @@
     OperatorApi operators;
     Drain drain;
     std::unique_ptr<HttpServer> server;
-    std::map<ServerId, std::unique_ptr<HttpExchange>> probes;
+    std::map<std::uint64_t, std::unique_ptr<HttpExchange>> probes; ///< GET /state under way.
+    std::uint64_t nextProbe = 1;
+    std::set<ServerId> probing;
     bool registered = false;
     MonotonicTime nextDigest;
     MonotonicTime nextAudit;
--- a/persimmonlb/dispatch/dispatcher.cpp
+++ b/persimmonlb/dispatch/dispatcher.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <utility>
 
-#include "persimmonlb/base/digest.h"
+#include "persimmonlb/routing/suspects.h"
 
 namespace persimmonlb
 {
@@ -22,11 +22,6 @@
     return item.job.value + "/" + std::to_string(item.index) + "/" + std::to_string(item.attempt);
 }
 
-std::string fingerprintOf(const ServiceName &service, const LeasedItem &item)
-{
-    return sha256Hex(service.value + "\n" + item.body);
-}
-
 HttpRequest requestFor(const LeasedItem &item, ServiceKind kind)
 {
     HttpRequest request;
@@ -138,7 +133,7 @@
             record(item, ItemOutcomeKind::NotRun, 0, {});
             continue;
         }
-        if (hooks_.isConvicted(fingerprintOf(service, item))) {
+        if (hooks_.isConvicted(fingerprintOf(service, item.body))) {
             record(item, ItemOutcomeKind::Rejected, quarantinedStatus,
                    "earlier runs of this item crashed backend servers");
             continue;
@@ -169,7 +164,7 @@
     };
     HttpRequest request = requestFor(item, hooks_.kind(service));
     Running run;
-    run.fingerprint = fingerprintOf(service, item);
+    run.fingerprint = fingerprintOf(service, item.body);
     run.item = std::move(item);
     run.service = service;
     run.server = server.server;
