Mesh over websocketpp with a mutual challenge

Both sides may dial, the lower host id at once, the other after a while. Now both stay and each side sends over the one that it proved first; of two by the same dialler the newer stays.

Messages above 256 KiB travel in several frames, so that heartbeats get between them; a peer that is silent for 1.5 s is given up (looked at each 250 ms).

Additions to the contract: Mesh::addPeer, Mesh::connectedPeers.

--- a/persimmonlb/http/client.h
+++ b/persimmonlb/http/client.h
@@ -57,7 +57,7 @@
     Milliseconds connectTimeout{1000};
     Milliseconds idleConnectionTimeout{30000};
     std::uint32_t maxIdlePerServer = 32;
-    std::uint32_t maxHeaderBytes = 64 * 1024; ///< Of an answer.
+    std::uint32_t maxHeaderBytes = 65536; ///< Of an answer.
     std::uint64_t maxBodyBytes = 1024ULL * 1024 * 1024; ///< Of an answer.
 };
 
--- a/persimmonlb/http/client_test.cpp
+++ b/persimmonlb/http/client_test.cpp
@@ -28,7 +28,7 @@
     HttpExchangeHooks hooks()
     {
         return {.head = [this](HttpResponseHead head) { heads.push_back(std::move(head)); },
-                .chunk = [this](std::string chunk) { body += chunk; },
+                .chunk = [this](const std::string &chunk) { body += chunk; },
                 .end =
                     [this](HttpExchangeEnd end) {
                         ends.push_back(std::move(end));
--- a/persimmonlb/http/internal/clientexchange.h
+++ b/persimmonlb/http/internal/clientexchange.h
@@ -19,7 +19,7 @@
 
 /// What the exchanges of one client share.
 struct ClientShared {
-    static constexpr std::size_t scratchBytes = 64 * 1024;
+    static constexpr std::size_t scratchBytes = 64UL * 1024;
 
     ClientShared(boost::asio::io_context &ioContext, HttpClientOptions clientOptions)
         : context(ioContext)
--- a/persimmonlb/http/internal/serverconnection.cpp
+++ b/persimmonlb/http/internal/serverconnection.cpp
@@ -393,7 +393,7 @@
                          .announceKeepAlive = http10_};
 }
 
-void ServerConnection::queueWholeAnswer(const HttpResponse &response, bool close)
+void ServerConnection::queueWholeAnswer(HttpResponse response, bool close)
 {
     AnswerFraming framed = framing(close);
     std::uint64_t length = response.body.size();
@@ -406,7 +406,7 @@
     }
     queue(formatAnswerHead(response.status, response.headers, framed));
     if (!noBody && !headRequest_) {
-        queue(response.body);
+        queue(std::move(response.body));
     }
 }
 
@@ -416,7 +416,7 @@
         return;
     }
     closeAfterAnswer_ = closeAfterAnswer_ || shared_->closing;
-    queueWholeAnswer(response, closeAfterAnswer_);
+    queueWholeAnswer(std::move(response), closeAfterAnswer_);
     answerEnded_ = true;
     flush();
 }
--- a/persimmonlb/http/internal/serverconnection.h
+++ b/persimmonlb/http/internal/serverconnection.h
@@ -30,7 +30,7 @@
 
 /// What the connections of one server share. Everything runs on the thread of the io_context.
 struct ServerShared {
-    static constexpr std::size_t scratchBytes = 64 * 1024;
+    static constexpr std::size_t scratchBytes = 64UL * 1024;
 
     explicit ServerShared(boost::asio::any_io_executor contextExecutor)
         : executor(std::move(contextExecutor))
@@ -93,7 +93,7 @@
     void nextRequest();
 
     void reject(const Error &error);
-    void queueWholeAnswer(const HttpResponse &response, bool close);
+    void queueWholeAnswer(HttpResponse response, bool close);
     void queue(std::string bytes);
     void flush();
     void awaitOutput();
--- a/persimmonlb/http/server.h
+++ b/persimmonlb/http/server.h
@@ -39,7 +39,7 @@
 
 struct HttpServerOptions {
     std::uint64_t maxBodyBytes = 128ULL * 1024 * 1024;
-    std::uint32_t maxHeaderBytes = 16 * 1024;
+    std::uint32_t maxHeaderBytes = 16384;
     Milliseconds headerTimeout{10000}; ///< To receive a whole header section.
     Milliseconds bodyTimeout{60000}; ///< To receive a whole body.
     Milliseconds idleTimeout{60000}; ///< Between requests of a connection.
--- /dev/null
+++ b/persimmonlb/wire/internal/meshcore.cpp
@@ -0,0 +1,468 @@
+#include "persimmonlb/wire/internal/meshcore.h"
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+#include "persimmonlb/base/logline.h"
+
+namespace persimmonlb::internal
+{
+
+namespace
+{
+
+/// Larger messages travel in several frames, so that heartbeats get between them.
+constexpr std::size_t maxFramePayload = 256UL * 1024;
+/// Last byte of each frame.
+constexpr char lastFrame = 0;
+constexpr char moreFrames = 1;
+
+constexpr Milliseconds tickInterval{250};
+constexpr std::uint64_t ticksPerPing = 2;
+/// A connection on which nothing arrives for so long is dead; pings come every 500 ms.
+constexpr Milliseconds silenceLimit{1500};
+constexpr Milliseconds handshakeLimit{2000};
+constexpr Milliseconds refusalLogInterval{1000};
+/// The host with the higher id leaves the first move to the other one.
+constexpr int higherIdDelayFactor = 3;
+constexpr std::size_t maxUnprovedLinks = 256;
+
+struct ListenAddress {
+    std::string ip;
+    std::uint16_t port = 0;
+};
+
+std::optional<ListenAddress> parseListenAddress(const std::string &address)
+{
+    const std::size_t colon = address.rfind(':');
+    if (colon == std::string::npos) {
+        return std::nullopt;
+    }
+    ListenAddress parsed{address.substr(0, colon), 0};
+    const char *end = address.data() + address.size();
+    const auto number = std::from_chars(address.data() + colon + 1, end, parsed.port);
+    if (number.ec != std::errc() || number.ptr != end) {
+        return std::nullopt;
+    }
+    if (parsed.ip.starts_with('[') && parsed.ip.ends_with(']')) {
+        parsed.ip = parsed.ip.substr(1, parsed.ip.size() - 2);
+    }
+    return parsed;
+}
+
+} // namespace
+
+MeshCore::MeshCore(MeshOptions options, std::shared_ptr<DecisionView> view, NonceSource nonces,
+                   RandomSource random)
+    : options_(std::move(options))
+    , view_(std::move(view))
+    , postHook_(view_->hooks.post)
+    , nonces_(std::move(nonces))
+    , random_(std::move(random))
+    , endpoint_(WebsocketEndpoint::create(
+          {.opened = [this](LinkId id, bool incoming) { opened(id, incoming); },
+           .received = [this](LinkId id, std::string bytes) { received(id, std::move(bytes)); },
+           .heard = [this](LinkId id) { heard(id); },
+           .closed =
+               [this](LinkId id, const std::string &reason) {
+                   closed(id, reason);
+               }}))
+{
+}
+
+Result<void> MeshCore::listen()
+{
+    const auto address = parseListenAddress(options_.listenAddress);
+    if (!address) {
+        return fail(ResultCode::SettingsInvalid, "not an ip:port: " + options_.listenAddress);
+    }
+    if (!isValidHostId(options_.self)) {
+        return fail(ResultCode::SettingsInvalid, "host id is empty or not printable");
+    }
+    if (options_.sharedKey.empty()) {
+        return fail(ResultCode::SettingsInvalid, "the mesh needs a shared key");
+    }
+    switch (endpoint_->listen(address->ip, address->port)) {
+    case ListenResult::Listening:
+        break;
+    case ListenResult::AddressInUse:
+        return fail(ResultCode::AddressInUse, options_.listenAddress + " is in use");
+    case ListenResult::Failed:
+        return fail(ResultCode::SettingsInvalid, "cannot listen on " + options_.listenAddress);
+    }
+    for (const MeshPeer &peer : options_.peers) {
+        addPeer(peer);
+    }
+    scheduleTick();
+    return {};
+}
+
+void MeshCore::run()
+{
+    endpoint_->run();
+}
+
+void MeshCore::stop()
+{
+    endpoint_->stop();
+}
+
+void MeshCore::post(std::function<void()> function)
+{
+    endpoint_->post(std::move(function));
+}
+
+std::uint16_t MeshCore::port() const
+{
+    return endpoint_->port();
+}
+
+template <typename Function>
+void MeshCore::postToDecision(Function function)
+{
+    postHook_([view = view_, function = std::move(function)]() mutable {
+        if (view->alive) {
+            function(*view);
+        }
+    });
+}
+
+// ---- connections --------------------------------------------------------------------------
+
+void MeshCore::opened(LinkId id, bool incoming)
+{
+    if (incoming) {
+        const std::size_t unproved = links_.size() - active_.size();
+        if (unproved >= maxUnprovedLinks) {
+            endpoint_->close(id);
+            return;
+        }
+        Link link{.incoming = true,
+                  .handshake = Handshake::accept({options_.self, options_.sharedKey}, nonces_),
+                  .lastHeard = std::chrono::steady_clock::now(),
+                  .outbox = nullptr,
+                  .partial = {}};
+        links_.emplace(id, std::move(link));
+        return;
+    }
+    const auto found = links_.find(id);
+    if (found != links_.end()) {
+        found->second.lastHeard = std::chrono::steady_clock::now();
+        sendHandshake(id, found->second);
+    }
+}
+
+void MeshCore::received(LinkId id, std::string bytes)
+{
+    const auto found = links_.find(id);
+    if (found == links_.end()) {
+        return;
+    }
+    Link &link = found->second;
+    if (!link.handshake.done()) {
+        advanceHandshake(id, link, bytes);
+        return;
+    }
+    link.lastHeard = std::chrono::steady_clock::now();
+    receivedFrame(id, link, std::move(bytes));
+}
+
+void MeshCore::receivedFrame(LinkId id, Link &link, std::string bytes)
+{
+    const char flag = bytes.empty() ? '\xff' : bytes.back();
+    if (flag != lastFrame && flag != moreFrames) {
+        drop(id, "frame without end mark");
+        return;
+    }
+    bytes.pop_back();
+    if (link.partial.size() + bytes.size() > options_.maxMessageBytes) {
+        drop(id, "message too large");
+        return;
+    }
+    if (flag == moreFrames) {
+        link.partial += bytes;
+        return;
+    }
+    if (!link.partial.empty()) {
+        link.partial += bytes;
+        bytes = std::exchange(link.partial, {});
+    }
+    postToDecision(
+        [from = link.handshake.peer(), message = std::move(bytes)](DecisionView &view) mutable {
+            view.hooks.received(from, std::move(message));
+        });
+}
+
+void MeshCore::heard(LinkId id)
+{
+    const auto found = links_.find(id);
+    if (found != links_.end() && found->second.handshake.done()) {
+        found->second.lastHeard = std::chrono::steady_clock::now();
+    }
+}
+
+void MeshCore::closed(LinkId id, const std::string &reason)
+{
+    const auto found = links_.find(id);
+    if (found == links_.end()) {
+        return;
+    }
+    const Link &link = found->second;
+    const auto peer = peers_.find(link.handshake.peer());
+    const bool failedDial = !link.outbox && !link.incoming && peer != peers_.end();
+    if (failedDial && !std::exchange(peer->second.failureLogged, true)) {
+        LogLine(LogLevel::Warning, "mesh_dial_failed")
+            .add("peer", link.handshake.peer().value)
+            .add("address", peer->second.address)
+            .add("reason", reason)
+            .write();
+    }
+    drop(id, reason);
+}
+
+void MeshCore::advanceHandshake(LinkId id, Link &link, const std::string &bytes)
+{
+    const Outcome<Done> outcome = link.handshake.receive(bytes);
+    if (!outcome.ok()) {
+        refuse(id, outcome.error().message);
+        return;
+    }
+    sendHandshake(id, link);
+    if (link.handshake.done()) {
+        authenticated(id, link);
+    }
+}
+
+void MeshCore::sendHandshake(LinkId id, Link &link)
+{
+    if (auto output = link.handshake.takeOutput()) {
+        endpoint_->send(id, std::move(*output), std::make_shared<std::atomic<std::uint64_t>>(0));
+    }
+}
+
+void MeshCore::authenticated(LinkId id, Link &link)
+{
+    const HostId host = link.handshake.peer();
+    link.lastHeard = std::chrono::steady_clock::now();
+    link.outbox = std::make_shared<Outbox>(id);
+    endpoint_->limitMessage(id, maxFramePayload + 1);
+    const auto peer = peers_.find(host);
+    if (peer != peers_.end()) {
+        peer->second.failureLogged = false;
+    }
+    const auto active = active_.find(host);
+    if (active == active_.end()) {
+        activate(id, link);
+        return;
+    }
+    if (links_.at(active->second).incoming == link.incoming) {
+        // Its dialler would not have dialled again if the older one were alive.
+        drop(active->second, "replaced by a newer connection");
+        if (!active_.contains(host)) {
+            activate(id, link);
+        }
+    }
+}
+
+/// Sends over this connection from now on.
+void MeshCore::activate(LinkId id, const Link &link)
+{
+    const HostId host = link.handshake.peer();
+    active_[host] = id;
+    LogLine(LogLevel::Info, "mesh_connected")
+        .add("peer", host.value)
+        .add("dialled_by", link.incoming ? host.value : options_.self.value)
+        .write();
+    postToDecision([host, outbox = link.outbox](DecisionView &view) {
+        view.routes[host] = outbox;
+        if (view.hooks.connected) {
+            view.hooks.connected(host);
+        }
+    });
+}
+
+/// Closes a connection whose peer did not prove itself.
+void MeshCore::refuse(LinkId id, const std::string &reason)
+{
+    const auto now = std::chrono::steady_clock::now();
+    if (now - lastRefusalLog_ >= refusalLogInterval) {
+        lastRefusalLog_ = now;
+        LogLine(LogLevel::Warning, "mesh_refused")
+            .add("peer", links_.at(id).handshake.peer().value)
+            .add("reason", reason)
+            .add("not_logged", static_cast<std::int64_t>(std::exchange(refusalsNotLogged_, 0)))
+            .write();
+    } else {
+        ++refusalsNotLogged_;
+    }
+    drop(id, reason);
+}
+
+void MeshCore::drop(LinkId id, const std::string &reason)
+{
+    const auto found = links_.find(id);
+    if (found == links_.end()) {
+        return;
+    }
+    const HostId host = found->second.handshake.peer();
+    const std::shared_ptr<Outbox> outbox = found->second.outbox;
+    endpoint_->close(id);
+    forget(id);
+    const auto active = active_.find(host);
+    if (!outbox || active == active_.end() || active->second != id) {
+        return;
+    }
+    active_.erase(active);
+    {
+        const std::lock_guard lock(outbox->mutex);
+        outbox->open = false;
+        outbox->messages.clear();
+    }
+    LogLine(LogLevel::Info, "mesh_disconnected")
+        .add("peer", host.value)
+        .add("reason", reason)
+        .write();
+    postToDecision([host](DecisionView &view) {
+        view.routes.erase(host);
+        if (view.hooks.disconnected) {
+            view.hooks.disconnected(host);
+        }
+    });
+    activateAnother(host);
+}
+
+void MeshCore::activateAnother(const HostId &host)
+{
+    for (const auto &[id, link] : links_) {
+        if (link.outbox && link.handshake.peer() == host) {
+            activate(id, link);
+            return;
+        }
+    }
+}
+
+/// Takes a connection out of the books and sees to the next dial.
+void MeshCore::forget(LinkId id)
+{
+    const auto found = links_.find(id);
+    const HostId host = found->second.handshake.peer();
+    links_.erase(found);
+    const auto peer = peers_.find(host);
+    if (peer == peers_.end()) {
+        return;
+    }
+    if (peer->second.dialling == id) {
+        peer->second.dialling = 0;
+    }
+    scheduleDial(host, false);
+}
+
+// ---- dialling -----------------------------------------------------------------------------
+
+void MeshCore::addPeer(const MeshPeer &peer)
+{
+    if (peer.host == options_.self || !isValidHostId(peer.host)) {
+        return;
+    }
+    peers_[peer.host].address = peer.address;
+    scheduleDial(peer.host, true);
+}
+
+void MeshCore::scheduleDial(const HostId &host, bool first)
+{
+    Peer &peer = peers_.at(host);
+    if (peer.dialScheduled) {
+        return;
+    }
+    peer.dialScheduled = true;
+    const bool peerIsLower = host < options_.self;
+    Milliseconds delay = first ? Milliseconds(0) : jittered(options_.reconnectInterval);
+    if (peerIsLower) {
+        delay = jittered(options_.reconnectInterval * higherIdDelayFactor);
+    }
+    endpoint_->after(delay, [this, host] {
+        peers_.at(host).dialScheduled = false;
+        dial(host);
+    });
+}
+
+void MeshCore::dial(const HostId &host)
+{
+    Peer &peer = peers_.at(host);
+    if (peer.dialling != 0 || active_.contains(host)) {
+        return;
+    }
+    const LinkId id = endpoint_->dial(peer.address);
+    peer.dialling = id;
+    Link link{.incoming = false,
+              .handshake = Handshake::dial({options_.self, options_.sharedKey}, host, nonces_),
+              .lastHeard = std::chrono::steady_clock::now(),
+              .outbox = nullptr,
+              .partial = {}};
+    links_.emplace(id, std::move(link));
+}
+
+Milliseconds MeshCore::jittered(Milliseconds interval)
+{
+    // From half to one and a half of the interval.
+    const auto range = static_cast<std::uint64_t>(std::max<std::int64_t>(1, interval.count()));
+    return interval / 2 + Milliseconds(static_cast<std::int64_t>(random_() % range));
+}
+
+// ---- heartbeat ----------------------------------------------------------------------------
+
+void MeshCore::scheduleTick()
+{
+    endpoint_->after(tickInterval, [this] {
+        tick();
+        scheduleTick();
+    });
+}
+
+void MeshCore::tick()
+{
+    ++ticks_;
+    const auto now = std::chrono::steady_clock::now();
+    std::vector<LinkId> silent;
+    for (const auto &[id, link] : links_) {
+        const auto limit = link.handshake.done() ? silenceLimit : handshakeLimit;
+        if (now - link.lastHeard > limit) {
+            silent.push_back(id);
+            continue;
+        }
+        if (link.handshake.done() && ticks_ % ticksPerPing == 0) {
+            endpoint_->ping(id);
+        }
+    }
+    for (const LinkId id : silent) {
+        closed(id, "no heartbeat");
+    }
+}
+
+// ---- sending ------------------------------------------------------------------------------
+
+void MeshCore::flush(const std::shared_ptr<Outbox> &outbox)
+{
+    std::vector<std::string> messages;
+    {
+        const std::lock_guard lock(outbox->mutex);
+        messages.swap(outbox->messages);
+    }
+    for (std::string &message : messages) {
+        const std::size_t size = message.size();
+        std::size_t start = 0;
+        while (size - start > maxFramePayload) {
+            std::string frame = message.substr(start, maxFramePayload);
+            frame += moreFrames;
+            endpoint_->send(outbox->link, std::move(frame), outbox->unsent);
+            start += maxFramePayload;
+        }
+        std::string frame = start == 0 ? std::move(message) : message.substr(start);
+        frame += lastFrame;
+        endpoint_->send(outbox->link, std::move(frame), outbox->unsent);
+        outbox->unsent->fetch_sub(size);
+    }
+}
+
+} // namespace persimmonlb::internal
--- a/persimmonlb/wire/mesh.h
+++ b/persimmonlb/wire/mesh.h
@@ -41,7 +41,11 @@
 /// Connections to every peer over websocketpp, with a challenge in both directions before the
 /// first message. Runs on a thread of its own; send() may be called from the decision thread.
 /// Messages are sent at most once and in order per connection; one that cannot be queued is
-/// dropped.
+/// dropped. A host that is not among the peers and proves the shared key is connected too. A
+/// peer that dies is told by disconnected within 2 seconds.
+///
+/// start(), send(), connectedPeers() and the destructor belong to the decision thread; no hook is
+/// called after the destructor.
 class Mesh
 {
 public:
@@ -58,6 +62,11 @@
     virtual bool send(const HostId &to, std::string bytes) = 0;
     /// Port of the listener.
     [[nodiscard]] virtual std::uint16_t port() const = 0;
+    /// Connects to one more peer from now on, or to a known one at another address. False when its
+    /// host id is not a valid one.
+    virtual bool addPeer(MeshPeer peer) = 0;
+    /// Hosts that send() reaches now, as the hooks told. Decision thread only.
+    [[nodiscard]] virtual std::vector<HostId> connectedPeers() const = 0;
 };
 
 } // namespace persimmonlb
