--- a/persimmonlb/ctl/commands_test.cpp
+++ b/persimmonlb/ctl/commands_test.cpp
@@ -40,7 +40,7 @@
 
     std::string file(const std::string &name, const std::string &text) const
     {
-        const std::string path = (folder / name).string();
+        std::string path = (folder / name).string();
         std::ofstream(path) << text;
         return path;
     }
--- a/persimmonlb/testing/fakeengineservice.cpp
+++ b/persimmonlb/testing/fakeengineservice.cpp
@@ -62,12 +62,6 @@
     return json.dump();
 }
 
-asio::awaitable<void> answer(unsigned status, std::string body,
-                             std::shared_ptr<Connection> connection)
-{
-    co_await connection->respond(status, std::move(body));
-}
-
 } // namespace
 
 FakeEngine::FakeEngine(asio::io_context &context, const FakeOptions &options)
@@ -98,12 +92,12 @@
         return order(std::move(request), std::move(connection));
     }
     if (target == "/state") {
-        return answer(statusOk, state_(), std::move(connection));
+        return connection->respond(statusOk, state_());
     }
     if (target == "/_runs") {
-        return answer(statusOk, counts(), std::move(connection));
+        return connection->respond(statusOk, counts());
     }
-    return answer(statusNotFound, errorBody(ResultCode::NotFound), std::move(connection));
+    return connection->respond(statusNotFound, errorBody(ResultCode::NotFound));
 }
 
 asio::awaitable<void> FakeEngine::chat(TestRequest request, std::shared_ptr<Connection> connection)
--- a/persimmonlb/testing/fakeplain.cpp
+++ b/persimmonlb/testing/fakeplain.cpp
@@ -63,14 +63,12 @@
 {
     const std::string target(request.target());
     if (target == "/_runs") {
-        co_await connection->respond(statusOk, Json(runs_).dump());
-        co_return;
+        return connection->respond(statusOk, Json(runs_).dump());
     }
     if (target == "/state") {
-        co_await connection->respond(statusOk, state_());
-        co_return;
+        return connection->respond(statusOk, state_());
     }
-    co_await call(std::move(request), connection);
+    return call(std::move(request), std::move(connection));
 }
 
 asio::awaitable<void> FakePlain::call(TestRequest request, std::shared_ptr<Connection> connection)
--- a/persimmonlb/testing/internal/fakeservice.h
+++ b/persimmonlb/testing/internal/fakeservice.h
@@ -26,6 +26,7 @@
 public:
     FakeEngine(boost::asio::io_context &context, const FakeOptions &options);
 
+    /// The caller keeps the connection alive until the answer has ended.
     boost::asio::awaitable<void> handle(TestRequest request,
                                         std::shared_ptr<Connection> connection);
     [[nodiscard]] FakeStatus status();
@@ -93,6 +94,7 @@
 public:
     FakePlain(boost::asio::io_context &context, const FakeOptions &options);
 
+    /// The caller keeps the connection alive until the answer has ended.
     boost::asio::awaitable<void> handle(TestRequest request,
                                         std::shared_ptr<Connection> connection);
     [[nodiscard]] FakeStatus status();
