One configuration of toml++ for every source file

Cause: sheetparser.cpp included toml++ with TOML_EXCEPTIONS=0 and an assertion hook, settings.cpp with the defaults. The inline functions share names, so the linker mixed two layouts: a control host crashed when the first sheet was applied (segmentation fault in parseSheet, seen on three processes and by gdb). Ruled out: the sheet's text (parses in sheet_test, which links one configuration alone). Now both include base/toml.h. The quickstart applies a sheet through real processes and covers this.

--- a/persimmonlb/sheet/internal/toml.h
+++ b/persimmonlb/base/toml.h
@@ -1,12 +1,12 @@
 #pragma once
 
-/// The only way in which this component includes toml++.
+/// The only way in which this project includes toml++; include it in source files alone.
 ///
 /// The parser of toml++ asserts on some malformed texts (for example "[;"). A sheet is parsed by
 /// every member that applies it, so an abort would end the whole group, again after each restart.
-/// Here a failed assertion throws std::logic_error instead, which parseSheet() reports as a
-/// malformed sheet. TOML_EXCEPTIONS=0 gives this parser symbols of its own, so that the linker
-/// cannot exchange it with one that another component compiled with plain assert().
+/// Here a failed assertion throws std::logic_error instead; catch it around toml::parse() and
+/// report malformed text. Every source file must see the same configuration of toml++, because its
+/// inline functions share names.
 
 #ifdef NDEBUG
 #error "toml++ turns its assertions into undefined behaviour under NDEBUG"
--- a/persimmonlb/daemon/settings.cpp
+++ b/persimmonlb/daemon/settings.cpp
@@ -6,9 +6,9 @@
 #include <map>
 #include <optional>
 #include <set>
-#include <sstream>
+#include <stdexcept>
 
-#include <toml++/toml.h>
+#include "persimmonlb/base/toml.h"
 
 namespace persimmonlb
 {
@@ -380,15 +380,18 @@
 
 Result<Settings> parseSettings(std::string_view text)
 {
-    toml::table root;
     try {
-        root = toml::parse(text);
-    } catch (const toml::parse_error &error) {
-        return fail(ResultCode::SettingsInvalid,
-                    "line " + std::to_string(error.source().begin.line) + ": "
-                        + std::string(error.description()));
+        const toml::parse_result parsed = toml::parse(text);
+        if (!parsed) {
+            const toml::parse_error &error = parsed.error();
+            return fail(ResultCode::SettingsInvalid,
+                        "line " + std::to_string(error.source().begin.line) + ": "
+                            + std::string(error.description()));
+        }
+        return readSettings(parsed.table());
+    } catch (const std::logic_error &error) {
+        return fail(ResultCode::SettingsInvalid, error.what());
     }
-    return readSettings(root);
 }
 
 } // namespace persimmonlb
--- a/persimmonlb/sheet/internal/tablereader.h
+++ b/persimmonlb/sheet/internal/tablereader.h
@@ -8,7 +8,7 @@
 #include <vector>
 
 #include "persimmonlb/base/error.h"
-#include "persimmonlb/sheet/internal/toml.h"
+#include "persimmonlb/base/toml.h"
 
 namespace persimmonlb::internal
 {
--- a/persimmonlb/sheet/sheetparser.cpp
+++ b/persimmonlb/sheet/sheetparser.cpp
@@ -3,8 +3,8 @@
 #include <utility>
 
 #include "persimmonlb/base/digest.h"
+#include "persimmonlb/base/toml.h"
 #include "persimmonlb/sheet/internal/tablereader.h"
-#include "persimmonlb/sheet/internal/toml.h"
 #include "persimmonlb/sheet/sheet.h"
 
 namespace persimmonlb
