Fault tests of the serving path; three failures found and mended

Now [DONE] counts only after a token whose finish_reason is not null, and never before any token. - An error message held the text [DONE], which a caller may take for the end of the stream. - A once-only request whose caller went away, or whose deadline came, while its outcome was being recorded stayed open for ever: a second record was counted although the claim takes only the first.

--- a/persimmonlb/serving/internal/onlineattempt.cpp
+++ b/persimmonlb/serving/internal/onlineattempt.cpp
@@ -214,7 +214,7 @@
         return;
     }
     if (attempt_->streams) {
-        streamFaulty("the stream ended without [DONE]");
+        streamFaulty("the stream ended without its end mark");
     } else if (attempt_->resumes) {
         resumeRefused();
     } else {
@@ -294,7 +294,10 @@
         record(ClaimState::Answered, std::move(answer), once);
     }
     if (!answeredCaller_) {
-        context_.hooks.after(context_.options.recordWait, once);
+        // Before the deadline, which would hide an answer that is there.
+        const Milliseconds wait
+            = std::min(context_.options.recordWait, timeLeft() - Milliseconds(1));
+        context_.hooks.after(wait, once);
     }
 }
 
--- a/persimmonlb/serving/internal/onlinecall.cpp
+++ b/persimmonlb/serving/internal/onlinecall.cpp
@@ -323,7 +323,7 @@
         return;
     }
     ++recordsPending_;
-    claim_->close(state, std::move(answer), [weak = weak_from_this(), recorded] {
+    const bool first = claim_->close(state, std::move(answer), [weak = weak_from_this(), recorded] {
         const auto self = weak.lock();
         if (recorded) {
             recorded();
@@ -333,6 +333,9 @@
             self->removeWhenOver();
         }
     });
+    if (!first) {
+        --recordsPending_;
+    }
 }
 
 void OnlineCall::answered(ResultCode code, std::uint16_t status)
--- a/persimmonlb/serving/onceonlyclaim.cpp
+++ b/persimmonlb/serving/onceonlyclaim.cpp
@@ -102,10 +102,10 @@
     });
 }
 
-void OnceOnlyClaim::close(ClaimState state, RecordedAnswer answer, std::function<void()> recorded)
+bool OnceOnlyClaim::close(ClaimState state, RecordedAnswer answer, std::function<void()> recorded)
 {
     if (!granted_ || std::exchange(closed_, true)) {
-        return;
+        return false;
     }
     record(RecordOutcome{.key = request_.key,
                          .owner = request_.owner,
@@ -114,12 +114,16 @@
                          .answer = std::move(answer),
                          .at = clock_.wall()},
            std::move(recorded), mostTries);
+    return true;
 }
 
 void OnceOnlyClaim::record(const RecordOutcome &outcome, std::function<void()> recorded,
                            std::uint32_t triesLeft)
 {
     if (triesLeft == 0) {
+        if (recorded) {
+            recorded();
+        }
         return;
     }
     hooks_.propose(outcome,
--- a/persimmonlb/serving/onceonlyclaim.h
+++ b/persimmonlb/serving/onceonlyclaim.h
@@ -39,9 +39,9 @@
     /// Gives up asking: `asked` is not called any more, and a claim that is granted later is closed
     /// as not sent.
     void abandon();
-    /// Closes a granted claim; only the first call counts. `recorded` is called once the log has
-    /// the outcome, or never when it cannot be reached for long.
-    void close(ClaimState state, RecordedAnswer answer, std::function<void()> recorded);
+    /// Closes a granted claim; only the first call counts, the others return false. `recorded` is
+    /// called once the log has the outcome, or cannot be reached for long.
+    bool close(ClaimState state, RecordedAnswer answer, std::function<void()> recorded);
 
     [[nodiscard]] bool granted() const;
 
--- a/persimmonlb/serving/testing/fakes.cpp
+++ b/persimmonlb/serving/testing/fakes.cpp
@@ -1,5 +1,6 @@
 #include "persimmonlb/serving/testing/fakes.h"
 
+#include <ostream>
 #include <utility>
 
 #include <nlohmann/json.hpp>
@@ -41,10 +42,14 @@
     std::function<void()> close_;
 };
 
-std::string token(const std::string &id, std::uint32_t index)
+std::string token(const std::string &id, std::uint32_t index, bool last)
 {
-    return "data: "
-        + Json{{"id", id}, {"index", index}, {"text", "t" + std::to_string(index)}}.dump() + "\n\n";
+    const Json finish = last ? Json("stop") : Json();
+    const Json event = {{"id", id},
+                        {"index", index},
+                        {"text", "t" + std::to_string(index)},
+                        {"choices", Json::array({Json{{"finish_reason", finish}}})}};
+    return "data: " + event.dump() + "\n\n";
 }
 
 } // namespace
@@ -282,6 +287,11 @@
     return error.is_object() ? error["run"].get<std::string>() : std::string();
 }
 
+std::ostream &operator<<(std::ostream &stream, ServerAct act)
+{
+    return stream << "act " << static_cast<int>(act);
+}
+
 // ---- FakeFleet ------------------------------------------------------------------------------
 
 FakeFleet::FakeFleet(VirtualTime &time)
@@ -396,6 +406,7 @@
 {
     Milliseconds at = tokenTime;
     for (std::uint32_t index = from; index < tokens; ++index, at += tokenTime) {
+        const bool last = index + 1 == tokens;
         const bool here = index == breakAtToken;
         if (here && act == ServerAct::BreaksInBody) {
             endLater(connection, at, {SendState::Sent, ResultCode::StreamBroken, "reset"});
@@ -409,14 +420,14 @@
             continue;
         }
         if (act == ServerAct::MixesInForeignTokens) {
-            sendLater(connection, at, token("other", index));
+            sendLater(connection, at, token("other", index, last));
         }
-        sendLater(connection, at, token(id, index));
+        sendLater(connection, at, token(id, index, last));
         if (act == ServerAct::DoublesTokens) {
-            sendLater(connection, at, token(id, index));
+            sendLater(connection, at, token(id, index, last));
         }
         if (act == ServerAct::SendsTokensLate && index > 0) {
-            sendLater(connection, at, token(id, index - 1));
+            sendLater(connection, at, token(id, index - 1, false));
         }
     }
     sendLater(connection, at, "data: [DONE]\n\n");
--- a/persimmonlb/serving/testing/fakes.h
+++ b/persimmonlb/serving/testing/fakes.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <iosfwd>
 #include <map>
 #include <memory>
 #include <optional>
@@ -122,6 +123,8 @@
     AnswersOtherRequest, ///< The head echoes another request id.
 };
 
+std::ostream &operator<<(std::ostream &stream, ServerAct act);
+
 /// One run that a fake server admitted.
 struct ServerRun {
     std::string server;
--- a/persimmonlb/serving/tokenstream.cpp
+++ b/persimmonlb/serving/tokenstream.cpp
@@ -60,6 +60,29 @@
     return result;
 }
 
+/// What a token says of the end of its answer, in choices[].finish_reason.
+enum class FinishMark { Absent, NotYet, Finished };
+
+FinishMark finishMarkOf(const Json &token)
+{
+    const auto choices = token.find("choices");
+    if (choices == token.end() || !choices->is_array()) {
+        return FinishMark::Absent;
+    }
+    FinishMark result = FinishMark::Absent;
+    for (const Json &choice : *choices) {
+        const auto reason = choice.is_object() ? choice.find("finish_reason") : choice.end();
+        if (!choice.is_object() || reason == choice.end()) {
+            continue;
+        }
+        if (reason->is_null()) {
+            return FinishMark::NotYet;
+        }
+        result = FinishMark::Finished;
+    }
+    return result;
+}
+
 /// End of the first complete event in `text` (after its empty line), or npos.
 std::size_t eventEnd(std::string_view text)
 {
@@ -111,7 +134,7 @@
         return;
     }
     if (fields.data == endMark) {
-        state_ = State::Ended;
+        takeEnd();
         return;
     }
     const Json token = Json::parse(fields.data, nullptr, false);
@@ -130,9 +153,20 @@
         return;
     }
     ++nextIndex_;
+    const FinishMark mark = finishMarkOf(token);
+    unfinished_ = mark == FinishMark::NotYet || (unfinished_ && mark == FinishMark::Absent);
     passed.emplace_back("data: " + fields.data + "\n\n");
 }
 
+void TokenStream::takeEnd()
+{
+    if (nextIndex_ == 0 || unfinished_) {
+        breakStream("the stream ended before its last token");
+        return;
+    }
+    state_ = State::Ended;
+}
+
 void TokenStream::breakStream(std::string fault)
 {
     state_ = State::Broken;
--- a/persimmonlb/serving/tokenstream.h
+++ b/persimmonlb/serving/tokenstream.h
@@ -17,7 +17,8 @@
 ///   if (stream.state() == TokenStream::State::Broken) ... resume from stream.nextIndex()
 ///
 /// Every event must carry the request's "id" and the next "index". One with another id, or with an
-/// index that was let through before, is dropped; one beyond the next index breaks the stream.
+/// index that was let through before, is dropped; one beyond the next index breaks the stream. So
+/// does an end before any token, or after one whose choices[].finish_reason is null.
 class TokenStream
 {
 public:
@@ -47,12 +48,14 @@
 private:
     /// Adds a complete event to `passed` when it is due.
     void takeEvent(std::string_view event, std::vector<std::string> &passed);
+    void takeEnd();
     void breakStream(std::string fault);
 
     std::string requestId_;
     std::string buffer_;
     State state_ = State::Open;
     std::uint64_t nextIndex_ = 0;
+    bool unfinished_ = false; ///< The last token said that more follow.
     std::string fault_;
     std::uint64_t dropped_ = 0;
 };
