--- a/persimmonlb/routing/concurrencylimit.cpp
+++ b/persimmonlb/routing/concurrencylimit.cpp
@@ -9,13 +9,8 @@
 namespace
 {
 
-constexpr double recentWeight = 0.2;
-constexpr double longRunWeight = 0.01;
-
-void blend(double &mean, double value, double weight)
-{
-    mean = mean == 0 ? value : mean + weight * (value - mean);
-}
+constexpr double recentWeight = 0.05;
+constexpr double bestRise = 1.0001;
 
 } // namespace
 
@@ -45,11 +40,11 @@
 void ConcurrencyLimit::answered(Milliseconds latency, std::uint32_t inFlight)
 {
     const auto latencyMs = std::max(static_cast<double>(latency.count()), 1.0);
-    blend(recentMs_, latencyMs, recentWeight);
-    blend(longRunMs_, latencyMs, longRunWeight);
+    recentMs_ = recentMs_ == 0 ? latencyMs : recentMs_ + recentWeight * (latencyMs - recentMs_);
+    bestMs_ = bestMs_ == 0 ? recentMs_ : std::min(bestMs_ * bestRise, recentMs_);
     ++answersSinceLowered_;
     const double tolerated
-        = options_.tolerance * longRunMs_ + static_cast<double>(options_.slack.count());
+        = options_.tolerance * bestMs_ + static_cast<double>(options_.slack.count());
     if (recentMs_ > tolerated) {
         lower();
         return;
--- a/persimmonlb/routing/quota.cpp
+++ b/persimmonlb/routing/quota.cpp
@@ -73,8 +73,7 @@
 double QuotaGate::share(const CallerName &caller, const Bucket &bucket) const
 {
     const MonotonicTime now = clock_.monotonic();
-    const double own = decayed(bucket.published, bucket.publishedAt);
-    double told = own;
+    double others = 0;
     std::uint32_t heard = 1;
     for (const auto &[peer, demand] : peers_) {
         if (now - demand.at > options_.demandLifetime) {
@@ -82,14 +81,20 @@
         }
         ++heard;
         const auto position = demand.perSecond.find(caller);
-        told += position == demand.perSecond.end() ? 0 : decayed(position->second, demand.at);
+        // Between two publications a steady demand stays as it was told.
+        const MonotonicTime since = std::min(now, demand.at + options_.publishInterval);
+        others += position == demand.perSecond.end() ? 0 : decayed(position->second, since);
     }
+    // While no peer told of the caller, peers may be about to: only what was published counts.
+    const double own = others > leastToldDemand ? decayed(bucket.perSecond, bucket.demandAt)
+                                                : decayed(bucket.published, bucket.publishedAt);
     const double even = 1.0 / std::max(hosts_, heard);
-    const double heardPart = heard * even;
-    if (told <= 0) {
+    const double all = own + others;
+    if (all <= 0) {
         return even;
     }
-    return heardPart * (1 - options_.evenPart) * own / told + options_.evenPart * even;
+    const double heardPart = heard * even;
+    return heardPart * (1 - options_.evenPart) * own / all + options_.evenPart * even;
 }
 
 void QuotaGate::refill(const SheetQuota &quota, Bucket &bucket)
@@ -120,10 +125,11 @@
         bucket.demandAt = now;
         bucket.publishedAt = now;
     }
+    // The share is that before this request: else every request would see itself as demand.
+    refill(*quota, bucket);
     const double window = static_cast<double>(options_.demandWindow.count()) / millisPerSecond;
     bucket.perSecond = decayed(bucket.perSecond, bucket.demandAt) + 1 / window;
     bucket.demandAt = now;
-    refill(*quota, bucket);
     if (bucket.tokens >= 1) {
         bucket.tokens -= 1;
         return Done{};
--- a/persimmonlb/routing/quota.h
+++ b/persimmonlb/routing/quota.h
@@ -14,9 +14,10 @@
 {
 
 struct QuotaOptions {
-    Milliseconds demandWindow{2000}; ///< Over which demand is smoothed.
+    Milliseconds demandWindow{500}; ///< Over which demand is smoothed.
+    Milliseconds publishInterval{500}; ///< Between two calls of publishDemand().
     Milliseconds demandLifetime{3000}; ///< A peer's demand that is older no longer counts.
-    double evenPart = 0.05; ///< Part of a quota that is split evenly, whatever the demand.
+    double evenPart = 0.03; ///< Part of a quota that is split evenly, whatever the demand.
 };
 
 /// Limits the requests of each caller to its quota in the sheet, split over the entry hosts.
