--- a/persimmonlb/serving/crash_test.cpp
+++ b/persimmonlb/serving/crash_test.cpp
@@ -139,6 +139,78 @@
     BOOST_TEST(bench.log.entryState().suspects.empty());
 }
 
+namespace
+{
+
+/// Asks for the right to run a suspect and counts what is granted.
+std::uint64_t askPermit(ServingBench &bench, std::size_t entry, const std::string &fingerprint,
+                        const std::string &server, int &granted)
+{
+    return bench.entries[entry]->suspects.acquire(
+        fingerprint, ServerId{server}, 1, MonotonicTime(bench.time.now() + Milliseconds(20000)),
+        [&granted](const Outcome<Done> &may) { granted += may.ok() ? 1 : 0; });
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(aSuspectRunsOnceAtATimeInTheWholeSystem)
+{
+    ServingBench bench(2, 2);
+    int granted = 0;
+    const std::uint64_t first = askPermit(bench, 0, "print", "s0", granted);
+    bench.run(Milliseconds(50));
+    askPermit(bench, 1, "print", "s1", granted);
+    bench.run(Milliseconds(1000));
+    BOOST_TEST(granted == 1);
+    bench.entries[0]->suspects.release(first, PermitEnd::NotRun);
+    bench.run(Milliseconds(500));
+    BOOST_TEST(granted == 2);
+}
+
+BOOST_AUTO_TEST_CASE(twoSuspectsNeverMeetOnOneServer)
+{
+    ServingBench bench(2, 2);
+    int granted = 0;
+    const std::uint64_t first = askPermit(bench, 0, "print", "s0", granted);
+    bench.run(Milliseconds(50));
+    askPermit(bench, 1, "other print", "s0", granted);
+    bench.run(Milliseconds(1000));
+    BOOST_TEST(granted == 1);
+    bench.entries[0]->suspects.release(first, PermitEnd::Survived);
+    bench.run(Milliseconds(500));
+    BOOST_TEST(granted == 2);
+}
+
+BOOST_AUTO_TEST_CASE(theRightOfALostEntryPassesOn)
+{
+    ServingBench bench(2, 2);
+    int granted = 0;
+    askPermit(bench, 0, "print", "s0", granted);
+    bench.run(Milliseconds(50));
+    bench.entries[0]->kill();
+    askPermit(bench, 1, "print", "s0", granted);
+    bench.run(Milliseconds(1000));
+    BOOST_TEST(granted == 1);
+    bench.log.releaseOwner(bench.entries[0]->self);
+    bench.run(Milliseconds(500));
+    BOOST_TEST(granted == 2);
+}
+
+BOOST_AUTO_TEST_CASE(aServerLostWithASuspectBlamesItAlone)
+{
+    ServingBench bench(2, 2);
+    int granted = 0;
+    askPermit(bench, 0, "print", "s0", granted);
+    bench.run(Milliseconds(50));
+    bench.fleet.crash(ServingBench::address(0));
+    LossVerdict verdict = LossVerdict::ServerLives;
+    bench.entries[0]->suspects.serverLost(ServerId{"s0"}, 1, {"bystander", "print"},
+                                          [&](LossVerdict found) { verdict = found; });
+    bench.run(Milliseconds(100));
+    BOOST_TEST((verdict == LossVerdict::Reported));
+    BOOST_TEST((bench.log.entryState().suspects == std::vector<std::string>{"print"}));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace persimmonlb
