--- a/persimmonlb/agreement/agreement_test.cpp
+++ b/persimmonlb/agreement/agreement_test.cpp
@@ -111,6 +111,7 @@
     startCallers();
     settle();
     stopCallers();
+    settle();
     BOOST_TEST(!agreement(d).leader().has_value());
     BOOST_TEST((leading() != d));
     checkAll({a, b, c});
@@ -244,6 +245,34 @@
     BOOST_TEST(status.members.size() == 3U);
 }
 
+BOOST_AUTO_TEST_CASE(aMemberThatWasCutOffDoesNotDeposeTheLeader)
+{
+    const HostId leads = leading();
+    const HostId away = following();
+    const std::uint64_t term = agreement(leads).status().term;
+    for (const HostId &host : hosts()) {
+        network.cutOneWay(away, host);
+        network.cutOneWay(host, away);
+    }
+    settle();
+    network.heal();
+    settle();
+    BOOST_TEST((leading() == leads));
+    BOOST_TEST(agreement(leads).status().term == term);
+    BOOST_TEST(agreement(away).status().term == term);
+}
+
+BOOST_AUTO_TEST_CASE(aLeaderThatCannotBeHeardBackStepsDown)
+{
+    const HostId leads = leading();
+    for (const HostId &host : hosts()) {
+        network.cutOneWay(host, leads); // Its heartbeats still arrive everywhere.
+    }
+    settle();
+    BOOST_TEST((agreement(leads).status().role != Role::Leader));
+    BOOST_TEST((leading() != leads));
+}
+
 BOOST_AUTO_TEST_CASE(aProposalWithoutQuorumEndsAsNotKnown)
 {
     const HostId leads = leading();
--- a/persimmonlb/agreement/fakegroup.h
+++ b/persimmonlb/agreement/fakegroup.h
@@ -112,6 +112,8 @@
         [[nodiscard]] std::string text() const;
     };
 
+    /// Called right after a command of a member was acknowledged.
+    std::function<void(const HostId &host, std::uint64_t number)> afterAcknowledgement;
     FakeScheduler scheduler;
     FakeNetwork network;
     Violations violations;
@@ -130,6 +132,7 @@
         std::uint64_t life = 0;
         bool frozen = false;
         bool running = false;
+        bool dying = false; ///< Crashed within a step; does nothing more while it unwinds.
         std::deque<std::function<void()>> held; ///< What waits for resume().
         std::vector<Trigger> triggers;
     };
@@ -144,6 +147,7 @@
     void send(const HostId &from, const HostId &to, const PeerBody &body);
     void tick(const HostId &host, std::uint64_t life);
     void callersTick();
+    void acknowledge(const HostId &host, std::uint64_t number);
     void read(const HostId &host);
     void stop(Host &host);
 
--- a/persimmonlb/store/memorystore.cpp
+++ b/persimmonlb/store/memorystore.cpp
@@ -42,6 +42,11 @@
     broken_ = true;
 }
 
+void MemoryStore::repair()
+{
+    broken_ = false;
+}
+
 Result<void> MemoryStore::write(Write write)
 {
     if (broken_) {
--- a/persimmonlb/store/memorystore.h
+++ b/persimmonlb/store/memorystore.h
@@ -44,6 +44,8 @@
     [[nodiscard]] std::size_t unsyncedWrites() const;
     /// Lets every later write and sync fail with StoreUnavailable.
     void breakDown();
+    /// Ends breakDown().
+    void repair();
 
 private:
     struct Contents {
