--- a/persimmonlb/store/diskstore_test.cpp
+++ b/persimmonlb/store/diskstore_test.cpp
@@ -9,6 +9,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include "persimmonlb/store/diskstore.h"
+#include "persimmonlb/store/internal/crc32c.h"
 #include "persimmonlb/store/internal/database.h"
 #include "persimmonlb/store/internal/records.h"
 
@@ -229,6 +230,12 @@
     BOOST_TEST((entries.value().back() == entry(28)));
 }
 
+BOOST_AUTO_TEST_CASE(checksumsAreCrc32C)
+{
+    BOOST_TEST(internal::crc32c("123456789") == 0xE3069283U);
+    BOOST_TEST(internal::crc32c("56789", internal::crc32c("1234")) == 0xE3069283U);
+}
+
 BOOST_AUTO_TEST_CASE(aFolderOfAnotherHostIsRefused)
 {
     openWell(main()).reset();
--- a/persimmonlb/store/records.cpp
+++ b/persimmonlb/store/records.cpp
@@ -1,15 +1,15 @@
 #include "persimmonlb/store/internal/records.h"
 
-#include <boost/crc.hpp>
 #include <nlohmann/json.hpp>
 
+#include "persimmonlb/store/internal/crc32c.h"
+
 namespace persimmonlb::internal
 {
 
 namespace
 {
 
-using Crc32C = boost::crc_optimal<32, 0x1EDC6F41, 0xFFFFFFFF, 0xFFFFFFFF, true, true>;
 constexpr std::size_t checksumBytes = 4;
 constexpr std::size_t numberBytes = 8;
 constexpr std::size_t entryHeaderBytes = numberBytes + 1;
@@ -18,10 +18,8 @@
 
 std::string checksumOf(std::string_view key, std::string_view content)
 {
-    Crc32C crc;
-    crc.process_bytes(key.data(), key.size());
-    crc.process_bytes(content.data(), content.size());
-    return encodeNumber(crc.checksum()).substr(numberBytes - checksumBytes);
+    const std::uint32_t crc = crc32c(content, crc32c(key));
+    return encodeNumber(crc).substr(numberBytes - checksumBytes);
 }
 
 std::string printable(std::string_view key)
