--- a/persimmonlb/agreement/agreement_test.cpp
+++ b/persimmonlb/agreement/agreement_test.cpp
@@ -52,6 +52,16 @@
         return leading() == a ? b : a;
     }
 
+    static HostId thirdOf(const HostId &first, const HostId &second)
+    {
+        for (const HostId &host : {a, b}) {
+            if (host != first && host != second) {
+                return host;
+            }
+        }
+        return c;
+    }
+
     void settle()
     {
         scheduler.runFor(Milliseconds(3000));
@@ -155,7 +165,7 @@
 {
     const HostId leads = leading();
     const HostId lost = following();
-    const HostId third = lost == b ? c : (leads == b ? c : b);
+    const HostId third = thirdOf(leads, lost);
     crash(third);
     startCallers();
     scheduler.runFor(Milliseconds(500));
@@ -176,7 +186,7 @@
 {
     const HostId leads = leading();
     const HostId lost = following();
-    const HostId third = lost == b ? c : (leads == b ? c : b);
+    const HostId third = thirdOf(leads, lost);
     loseDisk(lost);
     restart(lost);
     settle();
@@ -273,6 +283,136 @@
     BOOST_TEST((leading() != leads));
 }
 
+BOOST_AUTO_TEST_CASE(aMemberThatHearsTheLeaderHelpsNoOtherToDeposeIt)
+{
+    const HostId leads = leading();
+    const HostId away = following();
+    const std::uint64_t term = agreement(leads).status().term;
+    network.cutOneWay(leads, away);
+    network.cutOneWay(away, leads); // The third member hears both.
+    settle();
+    BOOST_TEST((leading() == leads));
+    BOOST_TEST(agreement(leads).status().term == term);
+}
+
+BOOST_AUTO_TEST_CASE(aRestartedMemberWithholdsItsVoteWhileTheOldLeaderMayHoldItsLease)
+{
+    const HostId leads = leading();
+    const HostId away = following();
+    const HostId third = thirdOf(leads, away);
+    network.cutOneWay(leads, away);
+    network.cutOneWay(away, leads);
+    startCallers();
+    settle();
+    crash(third);
+    network.cutOneWay(leads, third);
+    restart(third);
+    settle();
+    stopCallers();
+    BOOST_TEST((leading() != leads));
+    network.heal();
+    settle();
+    checkAll({a, b, c});
+}
+
+BOOST_AUTO_TEST_CASE(aFrozenAndResumedLeaderServesNothingStale)
+{
+    startCallers();
+    scheduler.runFor(Milliseconds(500));
+    const HostId leads = leading();
+    freeze(leads);
+    settle();
+    BOOST_TEST((leading() != leads));
+    const std::size_t acknowledged = acknowledgedCount();
+    BOOST_TEST(acknowledged > 50U);
+    resume(leads);
+    settle();
+    stopCallers();
+    settle();
+    checkAll({a, b, c});
+}
+
+BOOST_AUTO_TEST_CASE(nothingIsAcknowledgedBeforeAQuorumHasSyncedIt)
+{
+    const HostId leads = leading();
+    crash(following());
+    slowSync[leads] = std::chrono::seconds(30); // Only one member syncs it.
+    const std::uint64_t number = propose(leads);
+    scheduler.runFor(Milliseconds(900));
+    BOOST_TEST(!isAcknowledged(number));
+    BOOST_TEST(timesApplied(leads, number) == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(aVoteIsToldOnlyOnceItIsSynced)
+{
+    const HostId leads = leading();
+    const HostId voter = following();
+    crash(leads);
+    slowSync[voter] = std::chrono::seconds(30);
+    settle();
+    BOOST_TEST(!leader().has_value());
+    slowSync.clear();
+    scheduler.runFor(std::chrono::seconds(40));
+    BOOST_TEST(leader().has_value());
+}
+
+BOOST_AUTO_TEST_CASE(entriesOfAnEarlierTermAreCommittedOnlyWithOneOfTheOwnTerm)
+{
+    const HostId leads = leading();
+    const HostId other = following();
+    for (const HostId &host : hosts()) {
+        network.cutOneWay(leads, host);
+        network.cutOneWay(host, leads);
+    }
+    propose(leads);
+    const std::uint64_t earlier = agreement(leads).status().lastIndex;
+    while (agreement(leads).status().role != Role::PreCandidate) {
+        scheduler.runFor(Milliseconds(20));
+    }
+    const std::uint64_t term = store(leads).logStore().hardState().term + 1;
+    agreement(leads).receive(other, VoteReply{.term = term, .preVote = true, .granted = true});
+    scheduler.runFor(Milliseconds(20));
+    agreement(leads).receive(other, VoteReply{.term = term, .preVote = false, .granted = true});
+    scheduler.runFor(Milliseconds(20));
+    BOOST_TEST_REQUIRE((agreement(leads).status().role == Role::Leader));
+    AppendReply reply{.term = term,
+                      .success = true,
+                      .matchIndex = earlier,
+                      .hintIndex = 0,
+                      .round = 0,
+                      .disk = store(other).logStore().diskId()};
+    agreement(leads).receive(other, reply);
+    BOOST_TEST(agreement(leads).status().commitIndex < earlier);
+    reply.matchIndex = earlier + 1;
+    agreement(leads).receive(other, reply);
+    BOOST_TEST(agreement(leads).status().commitIndex == earlier + 1);
+}
+
+BOOST_AUTO_TEST_CASE(aNewMemberThatHasNotCaughtUpIsNotPromoted)
+{
+    add(d);
+    startCallers();
+    scheduler.runFor(Milliseconds(2000));
+    const HostId lost = following();
+    loseDisk(lost);
+    const HostId leads = leading();
+    bool complete = false;
+    agreement(leads).replaceMember(lost, d,
+                                   [&](const Outcome<Done> &outcome) { complete = outcome.ok(); });
+    while (agreement(leads).status().members.size() < 4) {
+        scheduler.runFor(Milliseconds(1));
+    }
+    network.cutOneWay(d, leads);
+    settle();
+    BOOST_TEST(!complete);
+    for (const MemberStatus &member : agreement(leads).status().members) {
+        BOOST_TEST(member.voter == (member.host != d));
+    }
+    network.heal();
+    settle();
+    BOOST_TEST(complete);
+}
+
 BOOST_AUTO_TEST_CASE(aProposalWithoutQuorumEndsAsNotKnown)
 {
     const HostId leads = leading();
--- a/persimmonlb/agreement/fakegroup.cpp
+++ b/persimmonlb/agreement/fakegroup.cpp
@@ -86,11 +86,13 @@
 void FakeGroup::add(const HostId &host)
 {
     Host &added = hosts_[host];
-    added.store = std::make_unique<MemoryStore>(nextDisk_++, [this](std::function<void()> done) {
-        scheduler.after(
-            leastSync + Microseconds(static_cast<std::int64_t>(random_() % syncSpreadMicroseconds)),
-            std::move(done));
-    });
+    added.store
+        = std::make_unique<MemoryStore>(nextDisk_++, [this, host](std::function<void()> done) {
+              const auto spread = static_cast<std::int64_t>(random_() % syncSpreadMicroseconds);
+              const auto slow = slowSync.find(host);
+              const Microseconds more = slow == slowSync.end() ? Microseconds(0) : slow->second;
+              scheduler.after(leastSync + Microseconds(spread) + more, std::move(done));
+          });
     restart(host);
 }
 
--- a/persimmonlb/agreement/fakegroup.h
+++ b/persimmonlb/agreement/fakegroup.h
@@ -114,6 +114,8 @@
 
     /// Called right after a command of a member was acknowledged.
     std::function<void(const HostId &host, std::uint64_t number)> afterAcknowledgement;
+    /// Makes the syncs of a host take this much longer.
+    std::map<HostId, Microseconds> slowSync;
     FakeScheduler scheduler;
     FakeNetwork network;
     Violations violations;
