--- a/persimmonlb/agreement/agreement_test.cpp
+++ b/persimmonlb/agreement/agreement_test.cpp
@@ -127,6 +127,24 @@
     checkAll({a, b, c});
 }
 
+BOOST_AUTO_TEST_CASE(messagesOfAnotherGroupAreIgnored)
+{
+    const GroupStatus before = agreement(a).status();
+    const std::uint64_t foreignTerm = store(a).logStore().hardState().term + (1ULL << 40U);
+    agreement(a).receive(
+        d,
+        AppendRequest{
+            .term = foreignTerm,
+            .previousIndex = 0,
+            .previousTerm = 0,
+            .commitIndex = 1,
+            .round = 1,
+            .entries
+            = {{.index = 1, .term = foreignTerm, .kind = EntryKind::NoOperation, .data = {}}}});
+    agreement(a).receive(d, VoteReply{.term = foreignTerm, .preVote = false, .granted = false});
+    BOOST_TEST((agreement(a).status() == before));
+}
+
 BOOST_AUTO_TEST_CASE(restartAfterHundredsOfCommandsKeepsSnapshotAndLog)
 {
     startCallers();
@@ -450,4 +468,48 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(FormationTest)
+
+BOOST_AUTO_TEST_CASE(aStartWaitsForEveryMemberAndIsResumed)
+{
+    FakeGroup group(seed, smallLimits());
+    for (const HostId &host : {a, b, c}) {
+        group.add(host);
+    }
+    BOOST_TEST_REQUIRE(capture([&] { return group.agreement(a).initialise({a, b, c}); }).ok());
+    while (group.agreement(b).status().members.empty()) {
+        group.scheduler.runFor(Milliseconds(1)); // Until the first entry has been handed out.
+    }
+    group.crash(c);
+    group.scheduler.runFor(Milliseconds(3000));
+    group.crash(a);
+    group.restart(a);
+    group.scheduler.runFor(Milliseconds(3000));
+    BOOST_TEST(!group.leader().has_value());
+    group.restart(c);
+    BOOST_TEST_REQUIRE(capture([&] { return group.agreement(a).initialise({a, b, c}); }).ok());
+    group.scheduler.runFor(Milliseconds(3000));
+    BOOST_TEST(group.leader().has_value());
+}
+
+BOOST_AUTO_TEST_CASE(ofTwoStartsWithAHostInCommonOneAtMostSucceeds)
+{
+    for (std::uint64_t number = 0; number < 20; ++number) {
+        FakeGroup group(seed + number, smallLimits());
+        for (const HostId &host : {a, b, c, d}) {
+            group.add(host);
+        }
+        static_cast<void>(capture([&] { return group.agreement(a).initialise({a, b, c}); }));
+        static_cast<void>(capture([&] { return group.agreement(d).initialise({b, c, d}); }));
+        group.scheduler.runFor(Milliseconds(5000));
+        int leaders = 0;
+        for (const HostId &host : group.hosts()) {
+            leaders += group.agreement(host).isLeader() ? 1 : 0;
+        }
+        BOOST_TEST(leaders <= 1);
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 } // namespace persimmonlb
