--- a/persimmonlb/ctl/commands_test.cpp
+++ b/persimmonlb/ctl/commands_test.cpp
@@ -113,6 +113,27 @@
     BOOST_TEST(fixture.out.str().find("job-1") != std::string::npos);
 }
 
+BOOST_FIXTURE_TEST_CASE(withoutADueTimeTheSystemChoosesOne, CommandFixture)
+{
+    options.service = "lettering-lm";
+    answers = {ok(R"({"id":"job-1","existed":false})")};
+    run({"job", "submit", file("job.jsonl", "{}\n")});
+    BOOST_REQUIRE(requests.size() == 1U);
+    BOOST_TEST(requests[0].target == "/v1/batches?service=lettering-lm");
+}
+
+BOOST_FIXTURE_TEST_CASE(aTableHasARowForEachListedThing, CommandFixture)
+{
+    answers = {ok(R"({"servers":[{"server":"engine-7","state":"ready"}],
+                      "hosts":[{"host":"host-7"}],"jobs":[{"id":"job-7"}]})")};
+    run({"server", "list"});
+    run({"host", "list"});
+    run({"job", "list"});
+    for (const char *expected : {"engine-7", "host-7", "job-7"}) {
+        BOOST_TEST(out.str().find(expected) != std::string::npos, expected);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(aDueTimeThatIsNoTimeIsRefusedBeforeAnythingIsSent)
 {
     CommandFixture fixture;
--- a/persimmonlb/ctl/hostcommands.cpp
+++ b/persimmonlb/ctl/hostcommands.cpp
@@ -16,7 +16,8 @@
     const ApiAnswer answer = session.call(session.request("GET", "/v1/admin/hosts"));
     return session.finish(answer, "", [&](const std::string &body) {
         Table table({"HOST", "ADDRESS", "ZONE", "SHEET", "LEASE LEFT", "DRAINING"});
-        for (const Json &host : arrayOf(parseObject(body), "hosts")) {
+        const Json listed = parseObject(body);
+        for (const Json &host : arrayOf(listed, "hosts")) {
             table.addRow({textOf(host, "host"), textOf(host, "address"),
                           textOf(host, "availability_zone"), textOf(host, "number"),
                           textOf(host, "lease_left_ms") + " ms", textOf(host, "draining")});
@@ -46,7 +47,8 @@
     return session.finish(answer, "", [&](const std::string &body) {
         Table table({"SERVER", "ADDRESS", "SERVICE", "STATE", "MODEL", "VERSION", "AGE", "ONL",
                      "BATCH", "RUN", "QUEUE"});
-        for (const Json &server : arrayOf(parseObject(body), "servers")) {
+        const Json listed = parseObject(body);
+        for (const Json &server : arrayOf(listed, "servers")) {
             table.addRow(
                 {textOf(server, "server"), textOf(server, "address"), textOf(server, "service"),
                  textOf(server, "state"), textOf(server, "model"), textOf(server, "version"),
--- a/persimmonlb/ctl/internal/jsontext.h
+++ b/persimmonlb/ctl/internal/jsontext.h
@@ -19,5 +19,7 @@
 
 /// Field `key` as an array; empty when missing.
 const nlohmann::json &arrayOf(const nlohmann::json &object, const char *key);
+/// A temporary would be gone before its array is read.
+const nlohmann::json &arrayOf(nlohmann::json &&object, const char *key) = delete;
 
 } // namespace persimmonlb
--- a/persimmonlb/ctl/jobcommands.cpp
+++ b/persimmonlb/ctl/jobcommands.cpp
@@ -45,7 +45,8 @@
 void printJobs(const Session &session, const std::string &body)
 {
     Table table({"ID", "CALLER", "SERVICE", "STATE", "DUE (UTC)", "DONE", "FAILED", "TOTAL"});
-    for (const Json &job : arrayOf(parseObject(body), "jobs")) {
+    const Json listed = parseObject(body);
+    for (const Json &job : arrayOf(listed, "jobs")) {
         table.addRow({textOf(job, "id"), textOf(job, "caller"), textOf(job, "service"),
                       textOf(job, "state"), formatMoment(numberOf(job, "due_ms")),
                       textOf(job, "succeeded"), textOf(job, "failed"), textOf(job, "total")});
@@ -87,10 +88,11 @@
     }
     const std::string key
         = options.key.empty() ? sha256Hex(options.service + "\n" + *items) : options.key;
-    ApiRequest request
-        = session.change("/v1/batches?service=" + urlEncode(options.service)
-                             + "&due=" + std::to_string(due->time_since_epoch().count()),
-                         *items);
+    std::string target = "/v1/batches?service=" + urlEncode(options.service);
+    if (due) {
+        target += "&due=" + std::to_string(due->time_since_epoch().count());
+    }
+    ApiRequest request = session.change(target, *items);
     request.headers.fields.push_back({"Content-Type", "application/jsonl"});
     request.headers.fields.push_back({"Idempotency-Key", key});
     const std::string advice
