--- a/persimmonlb/store/disklog.cpp
+++ b/persimmonlb/store/disklog.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <memory>
+#include <utility>
 
 #include "persimmonlb/store/internal/records.h"
 
@@ -47,7 +48,7 @@
             return fail(ResultCode::CorruptStore,
                         "log entry " + std::to_string(lastIndex_ + 1) + " is missing");
         }
-        BOOST_LEAF_CHECK(take(entry));
+        BOOST_LEAF_CHECK(take(std::move(entry)));
     }
     if (!iterator->status().ok()) {
         return fail(ResultCode::CorruptStore, iterator->status().ToString());
@@ -55,7 +56,7 @@
     return {};
 }
 
-Result<void> DiskLog::take(const LogEntry &entry)
+Result<void> DiskLog::take(LogEntry entry)
 {
     const std::uint64_t termBefore = termAt(lastIndex_).value_or(0);
     if (entry.term < termBefore) {
@@ -64,10 +65,10 @@
     }
     lastIndex_ = entry.index;
     noteTerm(entry);
-    keepInMemory(entry);
     if (entry.kind == EntryKind::Configuration) {
         configurations_.push_back(entry);
     }
+    keepInMemory(std::move(entry));
     return {};
 }
 
@@ -78,10 +79,10 @@
     }
 }
 
-void DiskLog::keepInMemory(const LogEntry &entry)
+void DiskLog::keepInMemory(LogEntry entry)
 {
-    newest_.push_back(entry);
     newestBytes_ += memoryOf(entry);
+    newest_.push_back(std::move(entry));
     while (newestBytes_ > memoryBytes && newest_.size() > 1) {
         newestBytes_ -= memoryOf(newest_.front());
         newest_.pop_front();
--- a/persimmonlb/store/internal/disklog.h
+++ b/persimmonlb/store/internal/disklog.h
@@ -42,9 +42,9 @@
         std::uint64_t term = 0;
     };
 
-    Result<void> take(const LogEntry &entry);
+    Result<void> take(LogEntry entry);
     void noteTerm(const LogEntry &entry);
-    void keepInMemory(const LogEntry &entry);
+    void keepInMemory(LogEntry entry);
     [[nodiscard]] Result<std::vector<LogEntry>>
     readFromDisk(std::uint64_t first, std::uint64_t last, std::uint64_t maxBytes) const;
     void removeRange(rocksdb::WriteBatch &batch, std::uint64_t first, std::uint64_t last) const;
--- a/persimmonlb/store/internal/records.h
+++ b/persimmonlb/store/internal/records.h
@@ -20,8 +20,8 @@
 
 /// Puts the checksum before the content.
 std::string seal(std::string_view key, std::string_view content);
-/// The content of a sealed record. Errors: CorruptStore, naming the key.
-Result<std::string> unseal(std::string_view key, std::string_view record);
+/// The content of a sealed record, as a part of `record`. Errors: CorruptStore, naming the key.
+Result<std::string_view> unseal(std::string_view key, std::string_view record);
 
 /// Key of a log entry.
 std::string entryKey(std::uint64_t index);
--- a/persimmonlb/store/records.cpp
+++ b/persimmonlb/store/records.cpp
@@ -76,7 +76,7 @@
     return record;
 }
 
-Result<std::string> unseal(std::string_view key, std::string_view record)
+Result<std::string_view> unseal(std::string_view key, std::string_view record)
 {
     if (record.size() < checksumBytes) {
         return fail(ResultCode::CorruptStore, printable(key) + " is cut off");
@@ -85,7 +85,7 @@
     if (checksumOf(key, content) != record.substr(0, checksumBytes)) {
         return fail(ResultCode::CorruptStore, printable(key) + " fails its checksum");
     }
-    return std::string(content);
+    return content;
 }
 
 std::string entryKey(std::uint64_t index)
@@ -115,7 +115,7 @@
     return LogEntry{.index = decodeNumber(key),
                     .term = decodeNumber(content),
                     .kind = static_cast<EntryKind>(content[numberBytes]),
-                    .data = content.substr(entryHeaderBytes)};
+                    .data = std::string(content.substr(entryHeaderBytes))};
 }
 
 std::string encodeHardState(const HardState &hardState)
