--- a/persimmonlb/agreement/agreement_test.cpp
+++ b/persimmonlb/agreement/agreement_test.cpp
@@ -1,3 +1,5 @@
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
 #include "persimmonlb/agreement/fakegroup.h"
@@ -9,6 +11,7 @@
 {
 
 constexpr std::uint64_t seed = 20261204;
+constexpr std::uint64_t repetitions = 10; ///< With one seed each.
 const HostId a{"a"};
 const HostId b{"b"};
 const HostId c{"c"};
@@ -30,8 +33,8 @@
 }
 
 struct ThreeMembers : FakeGroup {
-    ThreeMembers()
-        : FakeGroup(seed, smallLimits())
+    explicit ThreeMembers(std::uint64_t number = seed)
+        : FakeGroup(number, smallLimits())
     {
         for (const HostId &host : {a, b, c}) {
             add(host);
@@ -213,6 +216,7 @@
     propose(leads);
     settle();
     BOOST_TEST(acknowledgedCount() == before);
+    BOOST_TEST(!agreement(leads).isLeader());
 }
 
 BOOST_AUTO_TEST_CASE(aLostMemberIsReplacedAndTheNextLossIsSurvived)
@@ -315,22 +319,46 @@
 
 BOOST_AUTO_TEST_CASE(aRestartedMemberWithholdsItsVoteWhileTheOldLeaderMayHoldItsLease)
 {
-    const HostId leads = leading();
-    const HostId away = following();
-    const HostId third = thirdOf(leads, away);
-    network.cutOneWay(leads, away);
-    network.cutOneWay(away, leads);
-    startCallers();
-    settle();
-    crash(third);
-    network.cutOneWay(leads, third);
-    restart(third);
-    settle();
-    stopCallers();
-    BOOST_TEST((leading() != leads));
-    network.heal();
-    settle();
-    checkAll({a, b, c});
+    for (std::uint64_t number = 0; number < repetitions; ++number) {
+        ThreeMembers group(seed + number);
+        const HostId leads = group.leading();
+        const HostId away = group.following();
+        const HostId third = thirdOf(leads, away);
+        group.network.cutOneWay(leads, away);
+        group.network.cutOneWay(away, leads);
+        group.settle();
+        group.crash(third);
+        group.network.cutOneWay(leads, third);
+        group.scheduler.runFor(Milliseconds(5)); // Heartbeats under way are lost.
+        group.restart(third);
+        group.startCallers();
+        group.settle();
+        group.stopCallers();
+        BOOST_TEST((group.leading() != leads));
+        group.network.heal();
+        group.settle();
+        group.checkAll({a, b, c});
+    }
+}
+
+BOOST_AUTO_TEST_CASE(aLeaderThatIsCutOffServesNothingStale)
+{
+    for (std::uint64_t number = 0; number < repetitions; ++number) {
+        ThreeMembers group(seed + number);
+        const HostId leads = group.leading();
+        group.startCallers();
+        group.scheduler.runFor(Milliseconds(200));
+        for (const HostId &host : group.hosts()) {
+            group.network.cutOneWay(leads, host);
+            group.network.cutOneWay(host, leads);
+        }
+        group.settle();
+        BOOST_TEST((group.leading() != leads));
+        group.network.heal();
+        group.stopCallers();
+        group.settle();
+        group.checkAll({a, b, c});
+    }
 }
 
 BOOST_AUTO_TEST_CASE(aFrozenAndResumedLeaderServesNothingStale)
@@ -361,17 +389,30 @@
     BOOST_TEST(timesApplied(leads, number) == 0U);
 }
 
-BOOST_AUTO_TEST_CASE(aVoteIsToldOnlyOnceItIsSynced)
+BOOST_DATA_TEST_CASE_F(ThreeMembers, aVoteIsToldOnlyOnceItIsSynced,
+                       boost::unit_test::data::make({false, true}), synced)
 {
     const HostId leads = leading();
     const HostId voter = following();
+    const HostId candidate = thirdOf(leads, voter);
     crash(leads);
-    slowSync[voter] = std::chrono::seconds(30);
-    settle();
-    BOOST_TEST(!leader().has_value());
-    slowSync.clear();
-    scheduler.runFor(std::chrono::seconds(40));
-    BOOST_TEST(leader().has_value());
+    crash(candidate);
+    slowSync[voter] = synced ? Milliseconds(0) : Milliseconds(30000);
+    scheduler.runFor(Milliseconds(605)); // It withholds its vote no longer.
+    BOOST_TEST_REQUIRE((agreement(voter).status().role == Role::Follower));
+    bool told = false;
+    sent = [&](const HostId & /*from*/, const HostId & /*to*/, const PeerBody &body) {
+        const auto *reply = std::get_if<VoteReply>(&body);
+        told = told || (reply != nullptr && reply->granted && !reply->preVote);
+    };
+    const LogStore log = store(voter).logStore();
+    agreement(voter).receive(candidate,
+                             VoteRequest{.term = log.hardState().term + 1,
+                                         .preVote = false,
+                                         .lastLogIndex = log.lastIndex(),
+                                         .lastLogTerm = log.termAt(log.lastIndex()).value_or(0)});
+    scheduler.runFor(Milliseconds(50));
+    BOOST_TEST(told == synced);
 }
 
 BOOST_AUTO_TEST_CASE(entriesOfAnEarlierTermAreCommittedOnlyWithOneOfTheOwnTerm)
