--- a/persimmonlb/claims/claimtable.cpp
+++ b/persimmonlb/claims/claimtable.cpp
@@ -76,7 +76,9 @@
     }
     running_[command.owner].insert(command.key);
     changes.push_back({keys::claim(command.key), internal::encode(record)});
-    changes.push_back({keys::runningClaim(command.key), internal::encode(record)});
+    changes.push_back(
+        {keys::runningClaim(command.key),
+         internal::encode(internal::RunningClaim{.key = command.key, .owner = command.owner})});
     return ClaimReply{.state = ClaimState::Granted, .owner = command.owner, .answer = {}};
 }
 
@@ -204,10 +206,10 @@
     oldestAnswer_.reset();
     bool sound = true;
     store_.scan(keys::runningClaimPrefix, [&](std::string_view, std::string_view value) {
-        const auto record = internal::decodeClaimRecord(value);
-        sound = record.has_value();
+        const auto claim = internal::decodeRunningClaim(value);
+        sound = claim.has_value();
         if (sound) {
-            running_[record->owner].insert(record->key);
+            running_[claim->owner].insert(claim->key);
         }
         return sound;
     });
--- a/persimmonlb/claims/internal/claimrecord.cpp
+++ b/persimmonlb/claims/internal/claimrecord.cpp
@@ -19,11 +19,32 @@
     visitor("neverSent", value.neverSent);
 }
 
+template <typename Visitor, Like<RunningClaim> Value>
+void visitFields(Visitor &visitor, Value &value)
+{
+    visitor("key", value.key);
+    visitor("owner", value.owner);
+}
+
 std::string encode(const ClaimRecord &record)
 {
     return encodeFields(record);
 }
 
+std::string encode(const RunningClaim &claim)
+{
+    return encodeFields(claim);
+}
+
+std::optional<RunningClaim> decodeRunningClaim(std::string_view bytes)
+{
+    auto claim = decodeFields<RunningClaim>(bytes);
+    if (!claim.ok()) {
+        return std::nullopt;
+    }
+    return std::move(claim.value());
+}
+
 std::optional<ClaimRecord> decodeClaimRecord(std::string_view bytes)
 {
     auto record = decodeFields<ClaimRecord>(bytes);
--- a/persimmonlb/claims/internal/claimrecord.h
+++ b/persimmonlb/claims/internal/claimrecord.h
@@ -27,8 +27,19 @@
     bool operator==(const ClaimRecord &) const = default;
 };
 
+/// claimrun/: a claim without an outcome.
+struct RunningClaim {
+    ClaimKey key;
+    Owner owner;
+
+    bool operator==(const RunningClaim &) const = default;
+};
+
 std::string encode(const ClaimRecord &record);
+std::string encode(const RunningClaim &claim);
 /// Nothing when the bytes are no claim.
 std::optional<ClaimRecord> decodeClaimRecord(std::string_view bytes);
+/// Nothing when the bytes are no running claim.
+std::optional<RunningClaim> decodeRunningClaim(std::string_view bytes);
 
 } // namespace persimmonlb::internal
--- a/persimmonlb/jobs/jobreload.cpp
+++ b/persimmonlb/jobs/jobreload.cpp
@@ -42,6 +42,7 @@
 Result<void> JobTable::reload()
 {
     live_.clear();
+    liveNumbers_.clear();
     open_.clear();
     queues_.clear();
     held_.clear();
@@ -111,7 +112,8 @@
 
 Result<void> JobTable::reloadJob(std::uint64_t number, const JobRecord &record)
 {
-    LiveJob &job = *live_.emplace(number, std::make_unique<LiveJob>(number, record)).first->second;
+    addLive(std::make_unique<LiveJob>(number, record));
+    LiveJob &job = *live(number);
     if (record.state == JobState::Open) {
         open_.emplace(record.submittedAt, number);
         store_.scan(keys::bodiesOf(number), [&](std::string_view key, std::string_view) {
--- a/persimmonlb/jobs/jobtable.cpp
+++ b/persimmonlb/jobs/jobtable.cpp
@@ -54,7 +54,22 @@
 
 LiveJob *JobTable::live(const JobId &id) const
 {
-    return live(numberOf(id));
+    const auto number = liveNumbers_.find(id);
+    return number == liveNumbers_.end() ? nullptr : live(number->second);
+}
+
+void JobTable::addLive(std::unique_ptr<LiveJob> job)
+{
+    liveNumbers_[job->record().id] = job->number();
+    const std::uint64_t number = job->number();
+    live_.emplace(number, std::move(job));
+}
+
+void JobTable::removeLive(std::uint64_t number)
+{
+    const auto job = live_.find(number);
+    liveNumbers_.erase(job->second->record().id);
+    live_.erase(job);
 }
 
 std::optional<JobRecord> JobTable::recordOf(std::uint64_t number) const
@@ -120,7 +135,7 @@
     changes.push_back({key, keys::number(job->number())});
     writeRecord(*job, changes);
     open_.emplace(command.at, job->number());
-    live_.emplace(job->number(), std::move(job));
+    addLive(std::move(job));
     return JobReply{.code = ResultCode::Ok, .message = "", .id = command.id};
 }
 
@@ -203,7 +218,7 @@
         {keys::cancelled(number),
          keys::number(static_cast<std::uint64_t>(command.at.time_since_epoch().count()))});
     cancelled_[number] = Cancellation{.id = command.id, .at = command.at};
-    live_.erase(number);
+    removeLive(number);
     return {};
 }
 
@@ -228,7 +243,7 @@
     }
     job->setState(JobState::Finished);
     writeRecord(*job, changes);
-    live_.erase(number);
+    removeLive(number);
 }
 
 void JobTable::dropOneAbandoned(WallTime at, MutationList &changes)
@@ -239,7 +254,7 @@
     const std::uint64_t number = open_.begin()->second;
     const JobRecord record = live(number)->record();
     open_.erase(open_.begin());
-    live_.erase(number);
+    removeLive(number);
     garbage_[number] = record.itemCount;
     changes.push_back({keys::job(number), std::nullopt});
     changes.push_back({keys::jobId(record.id), std::nullopt});
--- a/persimmonlb/jobs/jobtable.h
+++ b/persimmonlb/jobs/jobtable.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include "persimmonlb/base/error.h"
@@ -101,6 +102,8 @@
     [[nodiscard]] std::uint64_t numberOf(const JobId &id) const;
     [[nodiscard]] internal::LiveJob *live(std::uint64_t number) const;
     [[nodiscard]] internal::LiveJob *live(const JobId &id) const;
+    void addLive(std::unique_ptr<internal::LiveJob> job);
+    void removeLive(std::uint64_t number);
     [[nodiscard]] std::optional<internal::JobRecord> recordOf(std::uint64_t number) const;
     [[nodiscard]] JobReply existing(std::uint64_t number, const OpenJob &command) const;
     void writeRecord(const internal::LiveJob &job, MutationList &changes) const;
@@ -148,6 +151,7 @@
     JobPolicy policy_;
     std::uint64_t nextJob_ = 1;
     std::map<std::uint64_t, std::unique_ptr<internal::LiveJob>> live_;
+    std::unordered_map<JobId, std::uint64_t> liveNumbers_;
     std::set<std::pair<WallTime, std::uint64_t>> open_; ///< Jobs not sealed, by opening time.
     std::map<ServiceName, std::unique_ptr<internal::ServiceQueue>> queues_;
     std::map<Owner, std::map<ItemKey, HeldItem>> held_;
--- a/persimmonlb/state/cborfields.h
+++ b/persimmonlb/state/cborfields.h
@@ -54,23 +54,31 @@
 template <typename Value>
 Cbor toCbor(const Value &value);
 
-/// Collects the fields of one struct in a map.
+/// Collects the fields of one struct in a map. Appends without a search for doubles: a field list
+/// names each field once.
 class FieldWriter
 {
 public:
+    FieldWriter()
+    {
+        fields_.reserve(expectedFields);
+    }
+
     template <typename Value>
     void operator()(const char *name, const Value &value)
     {
-        object_.push_back({name, toCbor(value)});
+        fields_.emplace_back(name, toCbor(value));
     }
 
     Cbor take()
     {
-        return std::move(object_);
+        return Cbor(std::move(fields_));
     }
 
 private:
-    Cbor object_ = Cbor::object();
+    static constexpr std::size_t expectedFields = 8;
+
+    Cbor::object_t fields_;
 };
 
 template <typename Value>
@@ -89,11 +97,12 @@
     } else if constexpr (isStringId<Value>) {
         return value.value;
     } else if constexpr (isVector<Value>) {
-        Cbor array = Cbor::array();
+        Cbor::array_t array;
+        array.reserve(value.size());
         for (const auto &element : value) {
             array.push_back(toCbor(element));
         }
-        return array;
+        return Cbor(std::move(array));
     } else {
         FieldWriter writer;
         visitFields(writer, value);
