--- a/persimmonlb/jobs/jobqueries.cpp
+++ b/persimmonlb/jobs/jobqueries.cpp
@@ -16,6 +16,7 @@
 {
 
 constexpr std::uint32_t maxJobsPerAnswer = 1000;
+constexpr std::uint32_t maxJobsExamined = 20'000;
 constexpr std::uint32_t maxItemsPerAnswer = 10'000;
 constexpr std::size_t maxBytesPerAnswer = std::size_t{8} * 1024 * 1024;
 
@@ -61,10 +62,12 @@
 {
     JobListAnswer answer;
     const std::uint32_t limit = std::min(query.limit, maxJobsPerAnswer);
+    std::uint32_t examined = 0;
     store_.scan(keys::jobPrefix, [&](std::string_view key, std::string_view value) {
-        if (answer.jobs.size() >= limit) {
+        if (answer.jobs.size() >= limit || examined == maxJobsExamined) {
             return false;
         }
+        ++examined;
         const auto number = keys::parseNumber(key.substr(keys::jobPrefix.size()));
         const auto record = internal::decodeJobRecord(value);
         if (number && record && (query.caller.empty() || record->caller == query.caller)) {
--- a/persimmonlb/jobs/jobtable.h
+++ b/persimmonlb/jobs/jobtable.h
@@ -66,6 +66,7 @@
     bool expire(WallTime at, MutationList &changes);
 
     [[nodiscard]] JobListAnswer find(const JobId &id) const;
+    /// Newest first, among the 20,000 newest jobs.
     [[nodiscard]] JobListAnswer list(const JobListQuery &query) const;
     [[nodiscard]] ResultsAnswer results(const ResultsQuery &query) const;
     [[nodiscard]] std::uint64_t pendingItems(const ServiceName &service) const;
