--- a/persimmonlb/wire/internal/meshcore.cpp
+++ b/persimmonlb/wire/internal/meshcore.cpp
@@ -27,6 +27,8 @@
 /// The host with the higher id leaves the first move to the other one.
 constexpr int higherIdDelayFactor = 3;
 constexpr std::size_t maxUnprovedLinks = 256;
+/// What a message that waits for the decision thread takes besides its bytes.
+constexpr std::uint64_t deliveryOverheadBytes = 256;
 
 struct ListenAddress {
     std::string ip;
@@ -142,7 +144,8 @@
                   .handshake = Handshake::accept({options_.self, options_.sharedKey}, nonces_),
                   .lastHeard = std::chrono::steady_clock::now(),
                   .outbox = nullptr,
-                  .partial = {}};
+                  .partial = {},
+                  .undelivered = std::make_shared<std::atomic<std::uint64_t>>(0)};
         links_.emplace(id, std::move(link));
         return;
     }
@@ -188,10 +191,38 @@
         link.partial += bytes;
         bytes = std::exchange(link.partial, {});
     }
-    postToDecision(
-        [from = link.handshake.peer(), message = std::move(bytes)](DecisionView &view) mutable {
-            view.hooks.received(from, std::move(message));
-        });
+    deliver(id, link, std::move(bytes));
+}
+
+void MeshCore::deliver(LinkId id, Link &link, std::string message)
+{
+    const std::uint64_t size = message.size() + deliveryOverheadBytes;
+    const std::uint64_t limit = options_.maxQueuedBytesPerPeer;
+    if (link.undelivered->fetch_add(size) + size > limit && !link.paused) {
+        link.paused = true;
+        endpoint_->pauseReading(id);
+    }
+    postToDecision([this, id, size, limit, from = link.handshake.peer(),
+                    undelivered = link.undelivered,
+                    message = std::move(message)](DecisionView &view) mutable {
+        const std::uint64_t before = undelivered->fetch_sub(size);
+        if (before > limit / 2 && before - size <= limit / 2) {
+            // The mesh is alive in here, and so is this object.
+            post([this, id] { resume(id); });
+        }
+        view.hooks.received(from, std::move(message));
+    });
+}
+
+void MeshCore::resume(LinkId id)
+{
+    const auto found = links_.find(id);
+    if (found == links_.end() || !found->second.paused) {
+        return;
+    }
+    found->second.paused = false;
+    found->second.lastHeard = std::chrono::steady_clock::now();
+    endpoint_->resumeReading(id);
 }
 
 void MeshCore::heard(LinkId id)
@@ -365,7 +396,11 @@
     if (peer.host == options_.self || !isValidHostId(peer.host)) {
         return;
     }
-    peers_[peer.host].address = peer.address;
+    Peer &entry = peers_[peer.host];
+    if (entry.address == peer.address) {
+        return;
+    }
+    entry.address = peer.address;
     scheduleDial(peer.host, true);
 }
 
@@ -399,7 +434,8 @@
               .handshake = Handshake::dial({options_.self, options_.sharedKey}, host, nonces_),
               .lastHeard = std::chrono::steady_clock::now(),
               .outbox = nullptr,
-              .partial = {}};
+              .partial = {},
+              .undelivered = std::make_shared<std::atomic<std::uint64_t>>(0)};
     links_.emplace(id, std::move(link));
 }
 
@@ -427,7 +463,7 @@
     std::vector<LinkId> silent;
     for (const auto &[id, link] : links_) {
         const auto limit = link.handshake.done() ? silenceLimit : handshakeLimit;
-        if (now - link.lastHeard > limit) {
+        if (now - link.lastHeard > limit && !link.paused) {
             silent.push_back(id);
             continue;
         }
--- a/persimmonlb/wire/internal/meshcore.h
+++ b/persimmonlb/wire/internal/meshcore.h
@@ -76,6 +76,10 @@
         TimePoint lastHeard;
         std::shared_ptr<Outbox> outbox; ///< Once the peer has proved the key.
         std::string partial; ///< Message of which more is to come.
+        /// Bytes of messages that the decision thread has not taken yet.
+        std::shared_ptr<std::atomic<std::uint64_t>> undelivered
+            = std::make_shared<std::atomic<std::uint64_t>>(0);
+        bool paused = false; ///< Too much is undelivered: nothing more is read.
     };
     struct Peer {
         std::string address;
@@ -91,6 +95,8 @@
     void closed(LinkId id, const std::string &reason);
 
     void receivedFrame(LinkId id, Link &link, std::string bytes);
+    void deliver(LinkId id, Link &link, std::string message);
+    void resume(LinkId id);
     void advanceHandshake(LinkId id, Link &link, const std::string &bytes);
     void sendHandshake(LinkId id, Link &link);
     void authenticated(LinkId id, Link &link);
--- a/persimmonlb/wire/internal/websocketendpoint.cpp
+++ b/persimmonlb/wire/internal/websocketendpoint.cpp
@@ -210,6 +210,22 @@
         }
     }
 
+    void pauseReading(LinkId link) override
+    {
+        const auto found = links_.find(link);
+        if (found != links_.end()) {
+            found->second.connection->pause_reading();
+        }
+    }
+
+    void resumeReading(LinkId link) override
+    {
+        const auto found = links_.find(link);
+        if (found != links_.end()) {
+            found->second.connection->resume_reading();
+        }
+    }
+
     void close(LinkId link) override
     {
         const auto found = links_.find(link);
--- a/persimmonlb/wire/internal/websocketendpoint.h
+++ b/persimmonlb/wire/internal/websocketendpoint.h
@@ -59,6 +59,10 @@
     virtual void ping(LinkId link) = 0;
     /// A larger message closes the connection. At first the limit is initialMessageBytes.
     virtual void limitMessage(LinkId link, std::size_t bytes) = 0;
+    /// Reads no more after the message whose received hook is running. Only from that hook.
+    virtual void pauseReading(LinkId link) = 0;
+    /// Takes pauseReading() back. Not from a hook.
+    virtual void resumeReading(LinkId link) = 0;
     /// Closes without waiting for the peer; closed is not called.
     virtual void close(LinkId link) = 0;
 };
--- a/persimmonlb/wire/mesh.cpp
+++ b/persimmonlb/wire/mesh.cpp
@@ -18,11 +18,11 @@
 class WebsocketMesh final : public Mesh
 {
 public:
-    WebsocketMesh(const MeshOptions &options, std::shared_ptr<DecisionView> view)
+    WebsocketMesh(MeshOptions options, std::shared_ptr<DecisionView> view)
         : view_(std::move(view))
-        , core_(options, view_, internal::systemNonces(), systemRandom())
         , maxMessageBytes_(options.maxMessageBytes)
         , maxQueuedBytes_(options.maxQueuedBytesPerPeer)
+        , core_(std::move(options), view_, internal::systemNonces(), systemRandom())
     {
     }
     WebsocketMesh(const WebsocketMesh &) = delete;
@@ -96,9 +96,9 @@
 
 private:
     std::shared_ptr<DecisionView> view_;
-    MeshCore core_;
     std::uint64_t maxMessageBytes_;
     std::uint64_t maxQueuedBytes_;
+    MeshCore core_;
     std::uint16_t port_ = 0;
     std::thread thread_;
 };
@@ -109,7 +109,7 @@
 {
     auto view = std::make_shared<DecisionView>();
     view->hooks = std::move(hooks);
-    auto mesh = std::make_unique<WebsocketMesh>(options, std::move(view));
+    auto mesh = std::make_unique<WebsocketMesh>(std::move(options), std::move(view));
     BOOST_LEAF_CHECK(mesh->listen());
     return std::unique_ptr<Mesh>(std::move(mesh));
 }
--- a/persimmonlb/wire/mesh_test.cpp
+++ b/persimmonlb/wire/mesh_test.cpp
@@ -357,6 +357,35 @@
     BOOST_TEST(!host.mesh->send({"h9"}, "x"));
 }
 
+/// The memory that a decision thread which hangs can take is bounded; its mesh stops reading, and
+/// the sender gives it up as dead.
+BOOST_AUTO_TEST_CASE(hangingDecisionThreadIsNotFlooded)
+{
+    DecisionThread thread;
+    DecisionThread hanging;
+    MeshOptions options;
+    options.maxQueuedBytesPerPeer = 4UL * 1024 * 1024;
+    Host sender(thread, "h1", options);
+    Host receiver(hanging, "h2", options);
+    sender.mesh->addPeer(receiver.asPeer());
+    thread.runUntil([&] { return sender.reaches(receiver.id); });
+
+    const std::string message(100000, 'x');
+    constexpr std::size_t farTooMuch = 200UL * 1024 * 1024;
+    std::size_t taken = 0;
+    while (sender.disconnected.empty() && taken < farTooMuch) {
+        if (sender.mesh->send(receiver.id, message)) {
+            taken += message.size();
+        }
+        thread.context.poll();
+    }
+    BOOST_TEST(taken < farTooMuch);
+
+    // Whatever was taken before arrives once the decision thread goes on.
+    hanging.runUntil([&] { return !receiver.disconnected.empty(); });
+    BOOST_TEST(receiver.received.size() > options.maxQueuedBytesPerPeer / message.size() / 2);
+}
+
 BOOST_AUTO_TEST_CASE(noHookIsCalledAfterTheDestructor)
 {
     DecisionThread thread;
