--- a/persimmonlb/wire/mesh_test.cpp
+++ b/persimmonlb/wire/mesh_test.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <thread>
 
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
@@ -357,6 +358,40 @@
     BOOST_TEST(!host.mesh->send({"h9"}, "x"));
 }
 
+/// The memory that a decision thread which hangs can take is bounded: its mesh stops reading, and
+/// the sender's queue fills. Nothing that was taken is lost when it goes on.
+BOOST_AUTO_TEST_CASE(hangingDecisionThreadIsNotFlooded)
+{
+    DecisionThread thread;
+    DecisionThread hanging;
+    MeshOptions options;
+    options.maxQueuedBytesPerPeer = 4UL * 1024 * 1024;
+    Host sender(thread, "h1", options);
+    Host receiver(hanging, "h2", options);
+    sender.mesh->addPeer(receiver.asPeer());
+    thread.runUntil([&] { return sender.reaches(receiver.id); });
+
+    const std::string message(100000, 'x');
+    constexpr std::size_t farTooMany = 5000;
+    constexpr int standstill = 200000;
+    std::size_t taken = 0;
+    int refused = 0;
+    while (refused < standstill && taken < farTooMany) {
+        if (sender.mesh->send(receiver.id, message)) {
+            ++taken;
+            refused = 0;
+            continue;
+        }
+        ++refused;
+        std::this_thread::yield();
+    }
+    BOOST_TEST(taken < farTooMany);
+
+    hanging.runUntil([&] { return receiver.received.size() == taken; });
+    BOOST_TEST(sender.mesh->send(receiver.id, "after"));
+    hanging.runUntil([&] { return receiver.received.size() == taken + 1; });
+}
+
 BOOST_AUTO_TEST_CASE(noHookIsCalledAfterTheDestructor)
 {
     DecisionThread thread;
