--- a/persimmonlb/testing/experiment.cpp
+++ b/persimmonlb/testing/experiment.cpp
@@ -2,9 +2,9 @@
 
 #include <cmath>
 #include <set>
-#include <sstream>
+#include <stdexcept>
 
-#include <toml++/toml.h>
+#include "persimmonlb/base/toml.h"
 
 namespace persimmonlb
 {
@@ -12,9 +12,14 @@
 namespace
 {
 
+std::string atLine(const toml::source_region &source, std::string_view message)
+{
+    return "line " + std::to_string(source.begin.line) + ": " + std::string(message);
+}
+
 [[noreturn]] void refuse(const toml::node &node, const std::string &message)
 {
-    throw toml::parse_error(message.c_str(), node.source());
+    throw std::invalid_argument(atLine(node.source(), message));
 }
 
 /// Reads the keys of one table; a key that nobody asked for is an error.
@@ -196,11 +201,14 @@
 Result<Experiment> parseExperiment(std::string_view text)
 {
     try {
-        return readExperiment(toml::parse(text));
-    } catch (const toml::parse_error &error) {
-        std::ostringstream message;
-        message << "line " << error.source().begin.line << ": " << error.description();
-        return fail(ResultCode::SettingsInvalid, message.str());
+        const toml::parse_result parsed = toml::parse(text);
+        if (!parsed) {
+            const toml::parse_error &error = parsed.error();
+            return fail(ResultCode::SettingsInvalid, atLine(error.source(), error.description()));
+        }
+        return readExperiment(parsed.table());
+    } catch (const std::logic_error &error) {
+        return fail(ResultCode::SettingsInvalid, error.what());
     }
 }
 
