--- a/persimmonlb/base/ids.h
+++ b/persimmonlb/base/ids.h
@@ -17,6 +17,7 @@
     {
         return value.empty();
     }
+    // NOLINTNEXTLINE(modernize-use-nullptr): reported falsely on a defaulted comparison
     friend auto operator<=>(const StringId &, const StringId &) = default;
 };
 
--- a/persimmonlb/dispatch/dispatcher.cpp
+++ b/persimmonlb/dispatch/dispatcher.cpp
@@ -231,9 +231,10 @@
     const LeasedItem item = std::move(run.item);
     const ServiceName service = run.service;
     const std::uint16_t status = run.status;
-    std::string body = kind == ItemOutcomeKind::Failed && !end.message.empty()
-        ? end.message
-        : std::move(run.body);
+    std::string body = std::move(run.body);
+    if (kind == ItemOutcomeKind::Failed && !end.message.empty()) {
+        body = end.message;
+    }
     release(id);
     if (kind == ItemOutcomeKind::NotRun && !draining_ && !cancelled_.contains(item.job)) {
         wait(service, item);
