--- a/persimmonlb/audit/audittrail.cpp
+++ b/persimmonlb/audit/audittrail.cpp
@@ -15,6 +15,7 @@
 constexpr std::size_t maxRecordsPerBatch = 1000;
 constexpr std::uint32_t maxRecordsPerAnswer = 10'000;
 constexpr std::uint64_t maxExaminedPerQuery = 20'000;
+constexpr std::size_t maxBytesPerAnswer = std::size_t{4} * 1024 * 1024;
 constexpr std::uint64_t batchWindow = 64;
 
 /// auditbatch/: which batches of a host were taken.
@@ -107,8 +108,9 @@
     AuditAnswer answer{.records = {}, .nextAfter = query.afterSequence};
     const std::uint32_t limit = std::min(query.limit, maxRecordsPerAnswer);
     std::uint64_t examined = 0;
+    std::size_t bytesTaken = 0;
     while (answer.nextAfter + 1 < next_ && answer.records.size() < limit
-           && examined < maxExaminedPerQuery) {
+           && examined < maxExaminedPerQuery && bytesTaken < maxBytesPerAnswer) {
         ++answer.nextAfter;
         ++examined;
         const auto bytes = store_.get(keys::audit(answer.nextAfter));
@@ -117,6 +119,7 @@
             || (!query.kind.empty() && record.value().kind != query.kind)) {
             continue;
         }
+        bytesTaken += bytes->size();
         answer.records.push_back(record.value());
     }
     answer.more = answer.nextAfter + 1 < next_;
--- a/persimmonlb/audit/audittrail.h
+++ b/persimmonlb/audit/audittrail.h
@@ -24,7 +24,7 @@
     /// may come out of order by up to 64. Errors: NotInForce for an older incarnation.
     PlainReply appendBatch(const AppendAudit &command, MutationList &changes);
 
-    /// Examines a bounded number of records; see AuditAnswer::more.
+    /// Examines at most 20,000 records and gives at most 4 MiB of them; see AuditAnswer::more.
     [[nodiscard]] AuditAnswer list(const AuditQuery &query) const;
 
     /// Sequence number of the last record, or 0.
--- a/persimmonlb/state/replicatedstate_test.cpp
+++ b/persimmonlb/state/replicatedstate_test.cpp
@@ -196,6 +196,13 @@
     BOOST_TEST(records.size() == 4U);
     BOOST_TEST(records.at(2).who == "batch 2");
     BOOST_TEST(records.at(0).detail.size() == 1024U);
+    const auto page = harness.ask<AuditAnswer>(
+        AuditQuery{.since = {}, .kind = "refusal", .afterSequence = 0, .limit = 3});
+    BOOST_TEST(page.more);
+    const auto rest = harness.ask<AuditAnswer>(
+        AuditQuery{.since = {}, .kind = "refusal", .afterSequence = page.nextAfter, .limit = 3});
+    BOOST_TEST(rest.records.size() == 1U);
+    BOOST_TEST(!rest.more);
 }
 
 BOOST_FIXTURE_TEST_CASE(fencingNumbersRiseAcrossRestarts, Fixture)
