--- a/persimmonlb/serving/testing/fakes.h
+++ b/persimmonlb/serving/testing/fakes.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <iosfwd>
 #include <map>
 #include <memory>
 #include <optional>
@@ -87,7 +88,7 @@
     /// The caller goes away.
     void close();
     /// True once the answer ended properly: whole, or in chunks that were finished.
-    [[nodiscard]] bool ended() const;
+    [[nodiscard]] bool isWhole() const;
     /// The final code of an error answer or error event; nothing for another answer.
     [[nodiscard]] std::optional<int> errorCode() const;
     /// "not_run", "unknown" or "ran" of an error answer; empty for another answer.
@@ -99,6 +100,9 @@
     bool finished = false;
     bool aborted = false;
     std::uint32_t ends = 0;
+    std::size_t runsAtEnd = 0; ///< Set by the bench: runs of the fleet when the answer ended.
+    std::function<void()> ended = [] {
+    };
 
 private:
     std::function<void()> closed_;
@@ -122,6 +126,8 @@
     AnswersOtherRequest, ///< The head echoes another request id.
 };
 
+std::ostream &operator<<(std::ostream &stream, ServerAct act);
+
 /// One run that a fake server admitted.
 struct ServerRun {
     std::string server;
