--- a/persimmonlb/state/command_test.cpp
+++ b/persimmonlb/state/command_test.cpp
@@ -6,6 +6,7 @@
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include "persimmonlb/base/cborcheck.h"
 #include "persimmonlb/state/command.h"
 #include "persimmonlb/state/query.h"
 
@@ -168,6 +169,13 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(depthIsBounded)
+{
+    constexpr std::size_t deepest = 15;
+    BOOST_TEST(isBoundedCbor(std::string(deepest, '\x81') + '\x00'));
+    BOOST_TEST(!isBoundedCbor(std::string(deepest + 1, '\x81') + '\x00'));
+}
+
 BOOST_DATA_TEST_CASE(mutatedBytesNeverThrow, boost::unit_test::data::xrange(8), round)
 {
     const auto seed = static_cast<std::uint32_t>(20261204 + round);
