Store: applied changes are written together

One RocksDB write for each applied command was the largest cost of an append (22 % of the processor time, on the path of every acknowledgement). A crash loses at most what the log replays.

--- a/persimmonlb/store/diskstate.cpp
+++ b/persimmonlb/store/diskstate.cpp
@@ -17,6 +17,9 @@
 constexpr std::string_view activeKey = "active-state";
 constexpr std::string_view firstName = "a";
 constexpr std::string_view secondName = "b";
+/// Applied entries that are written together at most.
+constexpr std::size_t mostGatheredEntries = 1024;
+constexpr std::size_t mostGatheredBytes = 4ULL * 1024 * 1024;
 /// Bytes of a key that sort after every key in use.
 constexpr std::size_t lastKeyBytes = 256;
 
@@ -117,16 +120,33 @@
 
 Result<void> DiskState::apply(std::uint64_t index, const MutationList &changes)
 {
-    rocksdb::WriteBatch batch;
-    putChanges(batch, changes);
-    putApplied(batch, active(), index);
-    BOOST_LEAF_CHECK(database_.write(batch));
+    putChanges(gathered_, changes);
+    for (const Mutation &change : changes) {
+        gatheredValues_.insert_or_assign(change.key, change.value);
+    }
     appliedIndex_ = index;
+    if (++gatheredEntries_ < mostGatheredEntries && gathered_.GetDataSize() < mostGatheredBytes) {
+        return {};
+    }
+    return flush();
+}
+
+Result<void> DiskState::flush()
+{
+    if (gatheredEntries_ == 0) {
+        return {};
+    }
+    putApplied(gathered_, active(), appliedIndex_);
+    BOOST_LEAF_CHECK(database_.write(gathered_));
+    gathered_.Clear();
+    gatheredValues_.clear();
+    gatheredEntries_ = 0;
     return {};
 }
 
 Result<void> DiskState::write(const MutationList &changes)
 {
+    BOOST_LEAF_CHECK(flush());
     rocksdb::WriteBatch batch;
     putChanges(batch, changes);
     return database_.write(batch);
@@ -134,6 +154,10 @@
 
 std::optional<std::string> DiskState::get(std::string_view key) const
 {
+    const auto gathered = gatheredValues_.find(std::string(key));
+    if (gathered != gatheredValues_.end()) {
+        return gathered->second;
+    }
     auto value = capture([&] { return database_.get(active(), key); });
     if (!value.ok()) {
         LogLine(LogLevel::Error, "state_read_failed").add("why", value.error().message).write();
@@ -142,10 +166,14 @@
     return std::move(value.value());
 }
 
-void DiskState::scan(
-    std::string_view prefix,
-    const std::function<bool(std::string_view key, std::string_view value)> &visit) const
+void DiskState::scan(std::string_view prefix,
+                     const std::function<bool(std::string_view key, std::string_view value)> &visit)
 {
+    const auto flushed = capture([&] { return flush(); });
+    if (!flushed.ok()) {
+        LogLine(LogLevel::Error, "state_write_failed").add("why", flushed.error().message).write();
+        return; // The next apply() or sync fails in the same way and stops the member.
+    }
     const std::unique_ptr<rocksdb::Iterator> iterator(
         database_.rocks().NewIterator(rocksdb::ReadOptions(), database_.family(active())));
     for (iterator->Seek(slice(prefix)); iterator->Valid(); iterator->Next()) {
@@ -164,16 +192,18 @@
     }
 }
 
-SnapshotView DiskState::openSnapshot() const
+Result<SnapshotView> DiskState::openSnapshot()
 {
+    BOOST_LEAF_CHECK(flush());
     auto reader = std::make_shared<FamilyReader>(database_.rocks(), database_.family(active()));
-    return {.appliedIndex = appliedIndex_, .next = [reader](std::uint64_t maxBytes) {
-                return reader->next(maxBytes);
-            }};
+    return SnapshotView{.appliedIndex = appliedIndex_, .next = [reader](std::uint64_t maxBytes) {
+                            return reader->next(maxBytes);
+                        }};
 }
 
 Result<void> DiskState::beginStaging()
 {
+    BOOST_LEAF_CHECK(flush());
     return empty(database_, staging());
 }
 
--- a/persimmonlb/store/diskstore.cpp
+++ b/persimmonlb/store/diskstore.cpp
@@ -27,6 +27,9 @@
 {
 public:
     Implementation(std::unique_ptr<Database> database, DiskStoreOptions options);
+    ~Implementation();
+    Implementation(const Implementation &) = delete;
+    Implementation &operator=(const Implementation &) = delete;
 
     Result<void> load();
 
@@ -66,6 +69,12 @@
     bindState();
 }
 
+DiskStore::Implementation::~Implementation()
+{
+    // What is not written here is replayed from the log.
+    static_cast<void>(capture([&] { return state_.flush(); }));
+}
+
 Result<void> DiskStore::Implementation::put(std::string_view key, const std::string &content)
 {
     rocksdb::WriteBatch batch;
@@ -134,6 +143,7 @@
 
 Result<void> DiskStore::Implementation::installStaged(const SnapshotMark &mark)
 {
+    BOOST_LEAF_CHECK(state_.flush());
     rocksdb::WriteBatch batch;
     log_.clear(batch, mark);
     state_.install(batch, mark.index);
@@ -176,7 +186,8 @@
     logStore.truncateSuffix = [this](std::uint64_t first) {
         return log_.truncateSuffix(first);
     };
-    logStore.compactPrefix = [this](const SnapshotMark &mark) {
+    logStore.compactPrefix = [this](const SnapshotMark &mark) -> Result<void> {
+        BOOST_LEAF_CHECK(state_.flush()); // Its entries can no longer be replayed.
         return log_.compactPrefix(mark);
     };
     logStore.sync = [this](std::function<void(Outcome<Done>)> done) {
--- a/persimmonlb/store/diskstore_test.cpp
+++ b/persimmonlb/store/diskstore_test.cpp
@@ -111,6 +111,16 @@
         BOOST_TEST_REQUIRE(capture([&] { return store.logStore().apply(index, changes); }).ok());
     }
 
+    static std::vector<std::string> keysOf(DiskStore &store)
+    {
+        std::vector<std::string> keys;
+        store.stateStore().scan("", [&](std::string_view key, std::string_view /*value*/) {
+            keys.emplace_back(key);
+            return true;
+        });
+        return keys;
+    }
+
     /// A copy of the files as a killed process leaves them.
     fs::path copyOf(const fs::path &folder)
     {
@@ -337,6 +347,43 @@
     BOOST_TEST(switched->stateStore().get("s2").has_value());
 }
 
+BOOST_AUTO_TEST_CASE(appliedChangesAreReadAtOnceAndLostOnlyWithTheAppliedIndex)
+{
+    const auto store = openWell(main());
+    append(*store, 1, 20);
+    apply(*store, 1);
+    BOOST_TEST((keysOf(*store) == std::vector<std::string>{"k1"}));
+    sync(*store);
+    apply(*store, 2);
+    const MutationList removal{{.key = "k1", .value = std::nullopt}};
+    BOOST_TEST(capture([&] { return store->logStore().apply(3, removal); }).ok());
+    BOOST_TEST(!store->stateStore().get("k1").has_value());
+    BOOST_TEST(store->stateStore().get("k2").has_value());
+    const auto lost = openWell(copyOf(main()));
+    BOOST_TEST(lost->logStore().appliedIndex() == 1U);
+    BOOST_TEST((keysOf(*lost) == std::vector<std::string>{"k1"}));
+    BOOST_TEST((keysOf(*store) == std::vector<std::string>{"k2"}));
+    sync(*store);
+    const auto kept = openWell(copyOf(main()));
+    BOOST_TEST(kept->logStore().appliedIndex() == 3U);
+    BOOST_TEST((keysOf(*kept) == std::vector<std::string>{"k2"}));
+}
+
+BOOST_AUTO_TEST_CASE(compactionKeepsTheStateOfWhatItRemoves)
+{
+    const auto store = openWell(main());
+    append(*store, 1, 20);
+    for (std::uint64_t index = 1; index <= 9; ++index) {
+        apply(*store, index);
+    }
+    const SnapshotMark mark{.index = 5, .term = 1, .configuration = "members"};
+    BOOST_TEST(capture([&] { return store->logStore().compactPrefix(mark); }).ok());
+    sync(*store);
+    const auto kept = openWell(copyOf(main()));
+    BOOST_TEST(kept->logStore().appliedIndex() >= 5U);
+    BOOST_TEST(kept->stateStore().get("k5").has_value());
+}
+
 BOOST_AUTO_TEST_CASE(aSnapshotViewDoesNotSeeLaterWrites)
 {
     const auto store = openWell(main());
--- a/persimmonlb/store/internal/diskstate.h
+++ b/persimmonlb/store/internal/diskstate.h
@@ -4,6 +4,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 
 #include "persimmonlb/store/internal/database.h"
 #include "persimmonlb/store/logstore.h"
@@ -14,6 +15,9 @@
 
 /// The keyed state of a member in the database. It lies in one of two column families; a snapshot
 /// is received in the other one, and one write switches over.
+///
+/// Applied changes are gathered and written together with the newest applied index. Until flush()
+/// they are in memory only, which a crash may lose: their log entries are replayed.
 class DiskState
 {
 public:
@@ -23,14 +27,17 @@
     Result<void> load();
 
     [[nodiscard]] std::uint64_t appliedIndex() const;
-    /// Writes changes and applied index. Errors: StoreUnavailable.
+    /// Takes changes and applied index. Errors: StoreUnavailable.
     Result<void> apply(std::uint64_t index, const MutationList &changes);
     Result<void> write(const MutationList &changes);
+    /// Writes what apply() gathered. Errors: StoreUnavailable.
+    Result<void> flush();
     [[nodiscard]] std::optional<std::string> get(std::string_view key) const;
     void scan(std::string_view prefix,
-              const std::function<bool(std::string_view key, std::string_view value)> &visit) const;
+              const std::function<bool(std::string_view key, std::string_view value)> &visit);
 
-    [[nodiscard]] SnapshotView openSnapshot() const;
+    /// Errors: StoreUnavailable.
+    [[nodiscard]] Result<SnapshotView> openSnapshot();
     Result<void> beginStaging();
     Result<void> stage(const KeyValueList &pairs);
     /// Adds to `batch` what makes the staged pairs the state.
@@ -47,6 +54,9 @@
     Database &database_;
     bool secondActive_ = false; ///< StateB is in use.
     std::uint64_t appliedIndex_ = 0;
+    rocksdb::WriteBatch gathered_;
+    std::unordered_map<std::string, std::optional<std::string>> gatheredValues_; ///< For get().
+    std::size_t gatheredEntries_ = 0;
 };
 
 } // namespace persimmonlb::internal
--- a/persimmonlb/store/logstore.h
+++ b/persimmonlb/store/logstore.h
@@ -78,7 +78,8 @@
 
     /// Index of the last log entry whose changes the keyed state holds.
     std::function<std::uint64_t()> appliedIndex;
-    /// Writes the changes of the entry at `index` and the applied index: both or neither.
+    /// Takes the changes of the entry at `index` and the applied index. A crash keeps both or
+    /// neither, and may lose them even after a sync, as long as the entry is in the log.
     /// Errors: StoreUnavailable.
     std::function<Result<void>(std::uint64_t index, const MutationList &changes)> apply;
 
