--- a/persimmonlb/http/internal/serverconnection.cpp
+++ b/persimmonlb/http/internal/serverconnection.cpp
@@ -144,6 +144,9 @@
 
 void ServerConnection::detach()
 {
+    if (phase_ != Phase::Closed) {
+        writeSome();
+    }
     closedHook_ = nullptr;
     writtenHooks_.clear();
     close();
@@ -481,6 +484,7 @@
         socket_.set_option(asio::socket_base::linger(true, 0), ignored);
     }
     closedHook_ = nullptr;
+    writeSome();
     close();
 }
 
@@ -527,11 +531,41 @@
     output_.push_back(std::move(bytes));
 }
 
+/// Writes at the end of the current handler, so that a head, its chunks and the end leave in one
+/// packet, and no hook runs inside the call that wrote.
 void ServerConnection::flush()
 {
-    if (awaitingOutput_ || phase_ == Phase::Closed) {
+    if (awaitingOutput_ || flushPosted_ || phase_ == Phase::Closed) {
         return;
     }
+    flushPosted_ = true;
+    asio::post(socket_.get_executor(), [self = shared_from_this()] {
+        self->flushPosted_ = false;
+        self->writeOutput();
+    });
+}
+
+void ServerConnection::writeOutput()
+{
+    if (phase_ == Phase::Closed) {
+        return;
+    }
+    const ErrorCode error = writeSome();
+    if (error == asio::error::would_block || error == asio::error::try_again) {
+        awaitOutput();
+        return;
+    }
+    if (error) {
+        callerGone();
+        return;
+    }
+    outputDrained();
+}
+
+/// Writes until everything is written or the kernel takes no more.
+ServerConnection::ErrorCode ServerConnection::writeSome()
+{
+    ErrorCode error;
     while (!output_.empty()) {
         std::vector<asio::const_buffer> buffers;
         for (const std::string &piece : output_) {
@@ -541,16 +575,9 @@
             }
         }
         buffers.front() += outputOffset_;
-        ErrorCode error;
         std::size_t written = socket_.write_some(buffers, error);
-        if (error == asio::error::would_block || error == asio::error::try_again) {
-            awaitOutput();
-            return;
-        }
         if (error) {
-            output_.clear();
-            asio::post(socket_.get_executor(), [self = shared_from_this()] { self->callerGone(); });
-            return;
+            break;
         }
         written += outputOffset_;
         while (!output_.empty() && written >= output_.front().size()) {
@@ -559,11 +586,7 @@
         }
         outputOffset_ = written;
     }
-    if (!drainPosted_) {
-        // Posted, so that no hook runs inside the call that wrote.
-        drainPosted_ = true;
-        asio::post(socket_.get_executor(), [self = shared_from_this()] { self->outputDrained(); });
-    }
+    return error;
 }
 
 void ServerConnection::awaitOutput()
@@ -576,16 +599,12 @@
             self->callerGone();
             return;
         }
-        self->flush();
+        self->writeOutput();
     });
 }
 
 void ServerConnection::outputDrained()
 {
-    drainPosted_ = false;
-    if (phase_ == Phase::Closed || !output_.empty()) {
-        return;
-    }
     if (phase_ == Phase::Closing) {
         halfClose();
         return;
--- a/persimmonlb/http/internal/serverconnection.h
+++ b/persimmonlb/http/internal/serverconnection.h
@@ -96,6 +96,8 @@
     void queueWholeAnswer(HttpResponse response, bool close);
     void queue(std::string bytes);
     void flush();
+    void writeOutput();
+    ErrorCode writeSome();
     void awaitOutput();
     void outputDrained();
     void answerSent();
@@ -125,7 +127,7 @@
     Phase phase_ = Phase::Idle;
     bool awaitingInput_ = false;
     bool awaitingOutput_ = false;
-    bool drainPosted_ = false;
+    bool flushPosted_ = false;
     bool answerStarted_ = false;
     bool answerEnded_ = false;
     bool closeAfterAnswer_ = false;
--- a/persimmonlb/http/server_test.cpp
+++ b/persimmonlb/http/server_test.cpp
@@ -389,6 +389,20 @@
     BOOST_TEST(!fixture.received[0]->closed);
 }
 
+BOOST_AUTO_TEST_CASE(whatWasWrittenBeforeAnAbortIsStillSent)
+{
+    Fixture fixture;
+    RawPeer peer = fixture.connect();
+    peer.send(plainRequest);
+    HttpResponder &responder = *fixture.request(0).responder;
+    responder.start({.status = 200, .headers = {}});
+    responder.write("event: error", {});
+    responder.abort();
+    BOOST_TEST(peer.seesClose());
+    BOOST_TEST(peer.count("event: error") == 1U);
+    BOOST_TEST(peer.count("0\r\n\r\n") == 0U);
+}
+
 BOOST_DATA_TEST_CASE(callerThatGoesAwayIsNoticed, data::make({false, true}), afterStart)
 {
     Fixture fixture;
--- a/persimmonlb/wire/internal/websocketendpoint.cpp
+++ b/persimmonlb/wire/internal/websocketendpoint.cpp
@@ -305,7 +305,9 @@
     {
         const LinkId link = find(handle);
         if (link != 0) {
-            end(link, links_.at(link).connection->get_ec().message());
+            const Connection &connection = *links_.at(link).connection;
+            const auto transportError = connection.get_transport_ec();
+            end(link, transportError ? transportError.message() : connection.get_ec().message());
         }
     }
 
