--- a/persimmonlb/wire/internal/meshcore.h
+++ b/persimmonlb/wire/internal/meshcore.h
@@ -19,6 +19,12 @@
 namespace persimmonlb::internal
 {
 
+/// Larger messages travel in several frames, so that heartbeats get between them.
+constexpr std::size_t maxFramePayload = 256UL * 1024;
+/// Last byte of each frame.
+constexpr char lastFrame = 0;
+constexpr char moreFrames = 1;
+
 /// Messages on their way from the decision thread to one connection. Thread-safe.
 struct Outbox {
     explicit Outbox(LinkId linkId)
