loadtool: the same arrivals in every phase; processor time and lag of the measured time only

Cause: phases that are compared drew other arrivals (262 against 318 in two phases of one rate), and processor time of the warm-up was divided by answers without it. Ruled out: the same contents in every phase, which would find each other's prompts in the prefix caches.

--- a/persimmonlb/testing/batchload.cpp
+++ b/persimmonlb/testing/batchload.cpp
@@ -47,21 +47,20 @@
     , random_(std::move(random))
     , report_(report)
 {
-}
-
-void BatchLoad::start()
-{
-    std::string lines;
     std::uint64_t allTokens = 0;
     for (std::uint32_t index = 0; index < mix_.items; ++index) {
         const ChatCall call = makeChatCall(mix_.service, mix_.shape, false, random_);
         answerKeys_.push_back(call.answerKey);
         tokens_.push_back(call.tokens);
         allTokens += call.tokens;
-        lines += makeBatchLine(index, call);
+        lines_ += makeBatchLine(index, call);
     }
     tokensPerItem_ = allTokens / std::max(mix_.items, 1U);
     report_.items = mix_.items;
+}
+
+void BatchLoad::start()
+{
     const WallTime due = systemClock().wall() + mix_.dueIn;
     HttpRequest request = makeRequest("POST",
                                       "/v1/batches?service=" + mix_.service + "&due="
@@ -69,7 +68,7 @@
     request.headers.fields.push_back({"Content-Type", "application/jsonl"});
     request.headers.fields.push_back(
         {"Idempotency-Key", "load-" + std::to_string(due.time_since_epoch().count())});
-    request.body = std::move(lines);
+    request.body = std::move(lines_);
     CallHooks hooks;
     hooks.end = [this](const CallEnd &end) {
         submitted(end);
--- a/persimmonlb/testing/internal/loads.h
+++ b/persimmonlb/testing/internal/loads.h
@@ -122,6 +122,7 @@
     PhaseWindow window_;
     RandomSource random_;
     BatchReport &report_;
+    std::string lines_;
     std::vector<std::uint64_t> answerKeys_;
     std::vector<std::uint32_t> tokens_;
     std::uint64_t tokensPerItem_ = 0;
--- a/persimmonlb/testing/loads.cpp
+++ b/persimmonlb/testing/loads.cpp
@@ -60,7 +60,7 @@
 void ArrivalLoop::arm()
 {
     while (next_ < window_.end && next_ <= BootClock::now()) {
-        worstLag_ = std::max(worstLag_, since(next_));
+        worstLag_ = window_.measures(next_) ? std::max(worstLag_, since(next_)) : worstLag_;
         fire_(next_);
         next_ = window_.start + arrivals_.next();
     }
--- a/persimmonlb/testing/loadtool.cpp
+++ b/persimmonlb/testing/loadtool.cpp
@@ -8,7 +8,6 @@
 #include <boost/asio/io_context.hpp>
 #include <tclap/CmdLine.h>
 
-#include "persimmonlb/base/digest.h"
 #include "persimmonlb/testing/experiment.h"
 #include "persimmonlb/testing/internal/phaserunner.h"
 #include "persimmonlb/testing/report.h"
@@ -98,8 +97,7 @@
             continue;
         }
         reports.push_back(std::make_unique<PhaseReport>());
-        const std::uint64_t seed = combineHash(experiment.seed, stableHash(phase.name));
-        runPhase(context, *client, caller, probes, phase, seed, *reports.back());
+        runPhase(context, *client, caller, probes, phase, experiment.seed, *reports.back());
         rows.push_back(reports.back().get());
         faults += faultsOf(*reports.back());
         std::cerr << "phase " << phase.name << " done\n";
--- a/persimmonlb/testing/phaserunner.cpp
+++ b/persimmonlb/testing/phaserunner.cpp
@@ -25,6 +25,8 @@
 constexpr Milliseconds drainLimit{40000};
 constexpr Milliseconds probeDeadline{2000};
 constexpr Milliseconds slice{20};
+/// Time to make the lines of a batch job before the phase starts.
+constexpr Milliseconds preparation{1000};
 
 struct PrefixCounts {
     std::uint64_t prompt = 0;
@@ -111,10 +113,12 @@
                PhaseWindow window, std::uint64_t seed, PhaseReport &report)
         : killTimer_(context)
     {
-        constexpr std::uint64_t arrivals = 1;
-        constexpr std::uint64_t contents = 2;
-        const auto random = [seed](std::uint64_t load, std::uint64_t use) {
-            return seededRandom(combineHash(combineHash(seed, load), use));
+        // Every phase sees the same arrivals, so that two phases can be compared; the contents
+        // differ, so that no phase finds the prompts of another in a prefix cache.
+        const std::uint64_t arrivals = combineHash(seed, 1);
+        const std::uint64_t contents = combineHash(seed, stableHash(phase.name));
+        const auto random = [](std::uint64_t load, std::uint64_t use) {
+            return seededRandom(combineHash(use, load));
         };
         if (phase.online) {
             online_.emplace(caller, *phase.online, window, random(1, contents), report.online);
@@ -195,14 +199,16 @@
     report.capacity = phase.capacity;
     report.measuredSeconds = std::chrono::duration<double>(phase.length - phase.warmup).count();
     const PrefixCounts before = readPrefixCounts(context, client, probes.engines);
-    const double cpuBefore = cpuSecondsOf(probes.daemonPids);
-    const MonotonicTime start = BootClock::now();
+    const MonotonicTime start = BootClock::now() + preparation;
     const PhaseWindow window{start, start + phase.warmup, start + phase.length};
     PhaseLoads loads(context, caller, phase, window, seed, report);
+    runUntil(context, preparation, [&] { return BootClock::now() >= window.start; });
     loads.start();
     if (phase.loseServerAfter && probes.killPid > 0) {
         loads.loseServer(probes.killPid, *phase.loseServerAfter);
     }
+    runUntil(context, phase.warmup, [&] { return BootClock::now() >= window.measureFrom; });
+    const double cpuBefore = cpuSecondsOf(probes.daemonPids);
     runUntil(context, phase.length, [&] { return BootClock::now() >= window.end; });
     report.daemonCpuSeconds = cpuSecondsOf(probes.daemonPids) - cpuBefore;
     loads.stop();
