--- a/persimmonlb/agreement/agreement.h
+++ b/persimmonlb/agreement/agreement.h
@@ -81,9 +81,9 @@
 ///   BOOST_LEAF_CHECK(agreement.start());
 ///   agreement.propose(encodeCommand(command), [](Outcome<std::string> reply) { ... });
 ///
-/// Every method and hook runs on the decision thread. No callback is called within the method that
-/// took it, except that a proposal or read that is refused is answered at once. The caller calls
-/// tick() about every 20 ms and may destroy the object only outside of its callbacks.
+/// Every method and hook runs on the decision thread. A callback is called exactly once, within the
+/// method that took it or a later one, and may call any method. The caller calls tick() about every
+/// 20 ms and may destroy the object only outside of its callbacks.
 class Agreement
 {
 public:
