--- a/persimmonlb/agreement/configurationlog.cpp
+++ b/persimmonlb/agreement/configurationlog.cpp
@@ -12,7 +12,7 @@
     if (!mark.configuration.empty()) {
         BOOST_LEAF_ASSIGN(base.configuration, decodeConfiguration(mark.configuration));
     }
-    records_.assign(1, std::move(base));
+    records_.assign(1, base);
     for (const LogEntry &entry : entries) {
         BOOST_LEAF_CHECK(append(entry));
     }
--- a/persimmonlb/agreement/fakegroup.cpp
+++ b/persimmonlb/agreement/fakegroup.cpp
@@ -374,6 +374,8 @@
             .clock = {.monotonic = [this] { return scheduler.now(); }, .wall = {}},
             .random = seededRandom(random_()),
             .hooks = std::move(hooks)};
+    // NOLINTNEXTLINE(clang-analyzer-cplusplus.NewDeleteLeaks): the hooks own what std::function
+    // allocated
 }
 
 std::uint64_t FakeGroup::timesApplied(const HostId &host, std::uint64_t number)
--- a/persimmonlb/agreement/fakegroup.h
+++ b/persimmonlb/agreement/fakegroup.h
@@ -51,6 +51,7 @@
     StepKind kind = StepKind::Send;
     bool after = false; ///< Else before.
 
+    // NOLINTNEXTLINE(modernize-use-nullptr): reported falsely on a defaulted comparison
     auto operator<=>(const Step &) const = default;
 };
 
--- a/persimmonlb/api/refusalbuffer.h
+++ b/persimmonlb/api/refusalbuffer.h
@@ -39,6 +39,7 @@
         std::string who;
         std::uint16_t code = 0;
 
+        // NOLINTNEXTLINE(modernize-use-nullptr): reported falsely on a defaulted comparison
         auto operator<=>(const CountKey &) const = default;
     };
 
--- a/persimmonlb/jobs/internal/records.h
+++ b/persimmonlb/jobs/internal/records.h
@@ -58,6 +58,7 @@
     Incarnation incarnation = 0;
     std::uint64_t sequence = 0;
 
+    // NOLINTNEXTLINE(modernize-use-nullptr): reported falsely on a defaulted comparison
     auto operator<=>(const SequenceRecord &) const = default;
 };
 
--- a/persimmonlb/jobs/internal/servicequeue.h
+++ b/persimmonlb/jobs/internal/servicequeue.h
@@ -27,6 +27,7 @@
     std::uint64_t job = 0;
     std::uint32_t index = 0;
 
+    // NOLINTNEXTLINE(modernize-use-nullptr): reported falsely on a defaulted comparison
     auto operator<=>(const DeferredItem &) const = default;
 };
 
--- a/persimmonlb/jobs/jobtable.h
+++ b/persimmonlb/jobs/jobtable.h
@@ -87,6 +87,7 @@
         std::uint64_t job = 0;
         std::uint32_t index = 0;
 
+        // NOLINTNEXTLINE(modernize-use-nullptr): reported falsely on a defaulted comparison
         auto operator<=>(const ItemKey &) const = default;
     };
     struct HeldItem {
--- a/persimmonlb/state/command.h
+++ b/persimmonlb/state/command.h
@@ -23,6 +23,7 @@
     HostId host;
     Incarnation incarnation = 0;
 
+    // NOLINTNEXTLINE(modernize-use-nullptr): reported falsely on a defaulted comparison
     auto operator<=>(const Owner &) const = default;
 };
 
@@ -192,6 +193,7 @@
     CallerName caller;
     std::string idempotencyKey;
 
+    // NOLINTNEXTLINE(modernize-use-nullptr): reported falsely on a defaulted comparison
     auto operator<=>(const ClaimKey &) const = default;
 };
 
