Batch items that are suspects run under the system-wide permit; audit pages say whether more follows

Cause: the dispatcher knew convicted items only, so two suspect items could meet on one server and an innocent one be convicted (reported by the routing tests' author). Tests aSuspectRunsOnlyWithAPermitAndItsEndIsTold and aSuspectWithoutAPermitWaitsAndAConvictedOneEnds are new; the hooks they use did not exist before, so they could not compile against the earlier dispatcher.

--- a/persimmonlb/api/operatorapi.cpp
+++ b/persimmonlb/api/operatorapi.cpp
@@ -323,7 +323,10 @@
         for (const AuditRecord &record : audit.value().records) {
             rows.push_back(toJson(record));
         }
-        respondJson(responder, 200, dump(Json{{"records", rows}}));
+        const Json page{{"records", rows},
+                        {"more", audit.value().more},
+                        {"next_after", audit.value().nextAfter}};
+        respondJson(responder, 200, dump(page));
     });
 }
 
--- a/persimmonlb/daemon/entryrole.cpp
+++ b/persimmonlb/daemon/entryrole.cpp
@@ -16,6 +16,8 @@
 constexpr Milliseconds auditInterval{1000};
 constexpr Milliseconds registerRetry{500};
 constexpr Milliseconds stopConfirmationTimeout{2000};
+constexpr Milliseconds permitTimeout{
+    5000}; ///< For a batch item to get the right to run as a suspect.
 constexpr std::size_t maxSingleRefusals = 200;
 
 ControlClientOptions controlOptions(const Settings &settings)
@@ -392,8 +394,17 @@
         return deps.settings.batch.enabled && lease.inForce()
             && drain.stage() == DrainStage::Serving;
     };
-    hooks.isConvicted = [this](const std::string &fingerprint) {
-        return suspects.suspicion(fingerprint) == Suspicion::Convicted;
+    hooks.suspicion = [this](const std::string &fingerprint) {
+        return suspects.suspicion(fingerprint);
+    };
+    hooks.acquirePermit = [this](const std::string &fingerprint, const ServerId &server,
+                                 std::function<void(Outcome<Done>)> done) {
+        const auto known = servers.find(server);
+        return suspects.acquire(fingerprint, server, known ? known->announcement.incarnation : 0,
+                                deps.clock.monotonic() + permitTimeout, std::move(done));
+    };
+    hooks.releasePermit = [this](std::uint64_t permit, PermitEnd end) {
+        suspects.release(permit, end);
     };
     hooks.lease = [this](const LeaseItems &command, std::function<void(Outcome<LeaseReply>)> done) {
         control.propose(command, [done = std::move(done)](const Outcome<Reply> &reply) {
--- a/persimmonlb/dispatch/dispatcher.cpp
+++ b/persimmonlb/dispatch/dispatcher.cpp
@@ -152,19 +152,76 @@
             record(item, ItemOutcomeKind::NotRun, 0, {});
             continue;
         }
-        if (hooks_.isConvicted(fingerprintOf(service, item.body))) {
-            record(item, ItemOutcomeKind::Rejected, quarantinedStatus,
-                   "earlier runs of this item crashed backend servers");
-            continue;
-        }
         queue.waiting.push_back({item, clock_.monotonic()});
     }
 }
 
+void Dispatcher::convict(const LeasedItem &item)
+{
+    record(item, ItemOutcomeKind::Rejected, quarantinedStatus,
+           "earlier runs of this item crashed backend servers");
+}
+
 void Dispatcher::startItem(const ServiceName &service, const DispatchServer &server,
                            LeasedItem item)
 {
+    Running run;
+    run.fingerprint = fingerprintOf(service, item.body);
+    const Suspicion suspicion = hooks_.suspicion(run.fingerprint);
+    if (suspicion == Suspicion::Convicted) {
+        convict(item);
+        return;
+    }
+    run.item = std::move(item);
+    run.service = service;
+    run.server = server.server;
     const std::uint64_t id = nextRun_++;
+    running_.emplace(id, std::move(run));
+    ++inFlight_[server.server];
+    hooks_.inFlightChanged(server.server, 1);
+    if (suspicion == Suspicion::Suspect) {
+        askForPermit(id, server.address);
+        return;
+    }
+    send(id, server.address);
+}
+
+void Dispatcher::askForPermit(std::uint64_t id, const std::string &address)
+{
+    const Running &run = running_.at(id);
+    const std::uint64_t permit = hooks_.acquirePermit(
+        run.fingerprint, run.server,
+        [this, id, address](const Outcome<Done> &granted) { takePermit(id, address, granted); });
+    const auto position = running_.find(id);
+    if (position != running_.end()) {
+        position->second.permit = permit;
+    }
+}
+
+void Dispatcher::takePermit(std::uint64_t id, const std::string &address,
+                            const Outcome<Done> &granted)
+{
+    const auto position = running_.find(id);
+    if (position == running_.end()) {
+        return;
+    }
+    if (granted.ok()) {
+        send(id, address);
+        return;
+    }
+    position->second.permit.reset();
+    const LeasedItem item = std::move(position->second.item);
+    const ServiceName service = position->second.service;
+    release(id);
+    if (granted.error().code == ResultCode::Quarantined) {
+        convict(item);
+        return;
+    }
+    wait(service, item);
+}
+
+void Dispatcher::send(std::uint64_t id, const std::string &address)
+{
     HttpExchangeHooks exchange;
     exchange.head = [this, id](const HttpResponseHead &head) {
         Running &run = running_.at(id);
@@ -181,17 +238,9 @@
     exchange.end = [this, id](const HttpExchangeEnd &ended) {
         end(id, ended);
     };
-    HttpRequest request = requestFor(item, hooks_.kind(service));
-    Running run;
-    run.fingerprint = fingerprintOf(service, item.body);
-    run.item = std::move(item);
-    run.service = service;
-    run.server = server.server;
-    running_.emplace(id, std::move(run));
-    ++inFlight_[server.server];
-    hooks_.inFlightChanged(server.server, 1);
-    auto started = hooks_.send(server.address, std::move(request), options_.itemTimeout,
-                               std::move(exchange));
+    const Running &run = running_.at(id);
+    auto started = hooks_.send(address, requestFor(run.item, hooks_.kind(run.service)),
+                               options_.itemTimeout, std::move(exchange));
     const auto still = running_.find(id);
     if (still != running_.end()) {
         still->second.exchange = std::move(started);
@@ -235,7 +284,8 @@
     if (kind == ItemOutcomeKind::Failed && !end.message.empty()) {
         body = end.message;
     }
-    release(id);
+    const PermitEnd ran = broken ? PermitEnd::Lost : PermitEnd::Survived;
+    release(id, kind == ItemOutcomeKind::NotRun ? PermitEnd::NotRun : ran);
     if (kind == ItemOutcomeKind::NotRun && !draining_ && !cancelled_.contains(item.job)) {
         wait(service, item);
         return;
@@ -243,9 +293,12 @@
     record(item, kind, status, std::move(body));
 }
 
-void Dispatcher::release(std::uint64_t id)
+void Dispatcher::release(std::uint64_t id, PermitEnd permitEnd)
 {
     const auto position = running_.find(id);
+    if (position->second.permit) {
+        hooks_.releasePermit(*position->second.permit, permitEnd);
+    }
     const ServerId server = position->second.server;
     // The exchange is kept until the stack that may be inside it has unwound.
     const std::unique_ptr<HttpExchange> exchange = std::move(position->second.exchange);
--- a/persimmonlb/dispatch/dispatcher.h
+++ b/persimmonlb/dispatch/dispatcher.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -14,6 +15,7 @@
 #include "persimmonlb/base/ids.h"
 #include "persimmonlb/dispatch/batchpolicy.h"
 #include "persimmonlb/http/client.h"
+#include "persimmonlb/routing/suspects.h"
 #include "persimmonlb/state/command.h"
 
 namespace persimmonlb
@@ -47,8 +49,15 @@
     std::function<std::vector<DispatchServer>(const ServiceName &)> servers;
     /// False while this host must not start work (not in force, or draining).
     std::function<bool()> mayStart;
-    /// True when earlier runs of this body crashed servers.
-    std::function<bool(const std::string &fingerprint)> isConvicted;
+    /// Whether earlier runs of a body may have crashed, or did crash, servers.
+    std::function<Suspicion(const std::string &fingerprint)> suspicion;
+    /// Asks for the right to run a suspect on a server; returns its id. `done` may be called at
+    /// once.
+    std::function<std::uint64_t(const std::string &fingerprint, const ServerId &,
+                                std::function<void(Outcome<Done>)> done)>
+        acquirePermit;
+    /// Gives the right back, or stops asking for it.
+    std::function<void(std::uint64_t permit, PermitEnd)> releasePermit;
     std::function<void(const LeaseItems &, std::function<void(Outcome<LeaseReply>)>)> lease;
     std::function<void(const CompleteItems &, std::function<void(Outcome<CompleteReply>)>)>
         complete;
@@ -112,6 +121,7 @@
         bool tooLarge = false;
         std::string body;
         std::unique_ptr<HttpExchange> exchange;
+        std::optional<std::uint64_t> permit; ///< Of a suspect.
     };
     struct WaitingItem {
         LeasedItem item;
@@ -132,8 +142,12 @@
     void leaseMore(const ServiceName &service, ServiceQueue &queue, std::uint32_t wanted);
     void takeLease(const ServiceName &service, const Outcome<LeaseReply> &reply);
     void startItem(const ServiceName &service, const DispatchServer &server, LeasedItem item);
+    void askForPermit(std::uint64_t id, const std::string &address);
+    void takePermit(std::uint64_t id, const std::string &address, const Outcome<Done> &granted);
+    void send(std::uint64_t id, const std::string &address);
+    void convict(const LeasedItem &item);
     void end(std::uint64_t id, const HttpExchangeEnd &end);
-    void release(std::uint64_t id);
+    void release(std::uint64_t id, PermitEnd permitEnd = PermitEnd::NotRun);
     void record(const LeasedItem &item, ItemOutcomeKind kind, std::uint16_t status,
                 std::string body);
     void flushOutcomes();
--- a/persimmonlb/dispatch/dispatcher_test.cpp
+++ b/persimmonlb/dispatch/dispatcher_test.cpp
@@ -82,7 +82,9 @@
     std::vector<CompleteItems> completions;
     std::vector<std::function<void(Outcome<CompleteReply>)>> completeAnswers;
     std::vector<std::string> lostFingerprints;
-    std::set<std::string> convicted;
+    std::map<std::string, Suspicion> suspicions;
+    std::vector<std::function<void(Outcome<Done>)>> permitAnswers;
+    std::vector<PermitEnd> permitEnds;
     Dispatcher dispatcher{options(), clock(), hooks()};
 
     static DispatcherOptions options()
@@ -122,8 +124,16 @@
         result.mayStart = [this] {
             return mayStart;
         };
-        result.isConvicted = [this](const std::string &print) {
-            return convicted.contains(print);
+        result.suspicion = [this](const std::string &print) {
+            const auto known = suspicions.find(print);
+            return known == suspicions.end() ? Suspicion::None : known->second;
+        };
+        result.acquirePermit = [this](const std::string &, const ServerId &, auto done) {
+            permitAnswers.push_back(std::move(done));
+            return permitAnswers.size();
+        };
+        result.releasePermit = [this](std::uint64_t, PermitEnd end) {
+            permitEnds.push_back(end);
         };
         result.lease = [this](const LeaseItems &request, auto done) {
             leases.push_back(request);
@@ -360,7 +370,7 @@
     bench.give({makeItem("j", 0)});
     bench.sent[0].hooks.end({SendState::Sent, ResultCode::BackendFailed, "reset"});
     BOOST_REQUIRE(bench.lostFingerprints.size() == 1U);
-    bench.convicted.insert(bench.lostFingerprints[0]);
+    bench.suspicions[bench.lostFingerprints[0]] = Suspicion::Convicted;
     bench.tick();
     bench.completeAnswers.back()(CompleteReply{1, 0});
     bench.give({makeItem("j", 0)});
@@ -369,6 +379,39 @@
     BOOST_TEST((bench.recorded().back().kind == ItemOutcomeKind::Rejected));
 }
 
+BOOST_AUTO_TEST_CASE(aSuspectRunsOnlyWithAPermitAndItsEndIsTold)
+{
+    Bench bench;
+    const LeasedItem item = makeItem("j", 0);
+    bench.suspicions[fingerprintOf(service, item.body)] = Suspicion::Suspect;
+    bench.give({item, makeItem("j", 1)});
+    BOOST_REQUIRE(bench.permitAnswers.size() == 1U);
+    BOOST_REQUIRE(bench.sent.size() == 1U);
+    BOOST_TEST(bench.sent[0].id() == "j/1/1");
+    bench.permitAnswers[0](Done{});
+    BOOST_REQUIRE(bench.sent.size() == 2U);
+    bench.sent[1].hooks.end({SendState::Sent, ResultCode::BackendFailed, "reset"});
+    BOOST_REQUIRE(bench.permitEnds.size() == 1U);
+    BOOST_TEST((bench.permitEnds[0] == PermitEnd::Lost));
+}
+
+BOOST_AUTO_TEST_CASE(aSuspectWithoutAPermitWaitsAndAConvictedOneEnds)
+{
+    Bench bench;
+    const LeasedItem item = makeItem("j", 0);
+    bench.suspicions[fingerprintOf(service, item.body)] = Suspicion::Suspect;
+    bench.give({item});
+    bench.permitAnswers[0](makeError(ResultCode::Overloaded, "another holds it"));
+    bench.tick();
+    BOOST_REQUIRE(bench.permitAnswers.size() == 2U);
+    bench.permitAnswers[1](makeError(ResultCode::Quarantined, "convicted"));
+    bench.tick();
+    BOOST_TEST(bench.sent.empty());
+    const auto recorded = bench.recorded();
+    BOOST_REQUIRE(recorded.size() == 1U);
+    BOOST_TEST((recorded[0].kind == ItemOutcomeKind::Rejected));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace persimmonlb
