--- a/persimmonlb/agreement/agreement_test.cpp
+++ b/persimmonlb/agreement/agreement_test.cpp
@@ -489,6 +489,18 @@
     BOOST_TEST(!agreement(leads).isLeader());
 }
 
+BOOST_AUTO_TEST_CASE(aProposalWhoseSyncFailsIsAnsweredAsNotKnown)
+{
+    const HostId leads = leading();
+    std::optional<ResultCode> code;
+    agreement(leads).propose("7", [&](const Outcome<std::string> &outcome) {
+        code = outcome.ok() ? ResultCode::Ok : outcome.error().code;
+    });
+    store(leads).breakDown();
+    scheduler.runFor(Milliseconds(10));
+    BOOST_TEST((code == ResultCode::NoQuorum));
+}
+
 BOOST_AUTO_TEST_CASE(aMemberWhoseStoreFailsAcknowledgesNothingMore)
 {
     const HostId leads = leading();
--- a/persimmonlb/agreement/core.cpp
+++ b/persimmonlb/agreement/core.cpp
@@ -172,6 +172,7 @@
         }
         if (!outcome.ok()) {
             failStore(outcome.error());
+            runCalls();
             return;
         }
         const auto running = runningSyncs_.find(number);
