--- a/persimmonlb/agreement/fakegroup.cpp
+++ b/persimmonlb/agreement/fakegroup.cpp
@@ -374,8 +374,7 @@
             .clock = {.monotonic = [this] { return scheduler.now(); }, .wall = {}},
             .random = seededRandom(random_()),
             .hooks = std::move(hooks)};
-    // NOLINTNEXTLINE(clang-analyzer-cplusplus.NewDeleteLeaks): the hooks own what std::function
-    // allocated
+    // NOLINTNEXTLINE(clang-analyzer-cplusplus.NewDeleteLeaks): std::function owns it
 }
 
 std::uint64_t FakeGroup::timesApplied(const HostId &host, std::uint64_t number)
--- a/persimmonlb/agreement/faultmatrix_test.cpp
+++ b/persimmonlb/agreement/faultmatrix_test.cpp
@@ -140,7 +140,7 @@
 
     [[nodiscard]] HostId choose(Target target) const
     {
-        const HostId leads = group.leader().value_or(a);
+        HostId leads = group.leader().value_or(a);
         if (target == Target::Leader) {
             return leads;
         }
--- a/persimmonlb/state/cborfields.h
+++ b/persimmonlb/state/cborfields.h
@@ -86,9 +86,7 @@
 {
     if constexpr (std::is_same_v<Value, bool> || std::is_same_v<Value, std::string>) {
         return value;
-    } else if constexpr (std::is_enum_v<Value>) {
-        return static_cast<std::uint64_t>(value);
-    } else if constexpr (std::unsigned_integral<Value>) {
+    } else if constexpr (std::is_enum_v<Value> || std::unsigned_integral<Value>) {
         return static_cast<std::uint64_t>(value);
     } else if constexpr (std::is_same_v<Value, WallTime>) {
         return std::int64_t{value.time_since_epoch().count()};
