Less work at rest: the dispatcher looks at servers only while items wait, the server table moves each 100 ms

Cause: each 20 ms every host copied its whole server table per service, though no batch work waited.

--- a/persimmonlb/control/lease_test.cpp
+++ b/persimmonlb/control/lease_test.cpp
@@ -81,7 +81,7 @@
             post(host, [this, host, request] { renew(host, request); });
             return true;
         };
-        hooks.fetchSheet = [this, host](std::function<void(Outcome<SheetAnswer>)> done) {
+        hooks.fetchSheet = [this, host](const std::function<void(Outcome<SheetAnswer>)> &done) {
             fetch(
                 host,
                 [this, done] {
@@ -92,11 +92,12 @@
                 },
                 [done] { done(makeError(ResultCode::NoQuorum, "lost")); });
         };
-        hooks.fetchEntryState = [this, host](std::function<void(Outcome<EntryStateAnswer>)> done) {
-            fetch(
-                host, [done] { done(EntryStateAnswer{}); },
-                [done] { done(makeError(ResultCode::NoQuorum, "lost")); });
-        };
+        hooks.fetchEntryState
+            = [this, host](const std::function<void(Outcome<EntryStateAnswer>)> &done) {
+                  fetch(
+                      host, [done] { done(EntryStateAnswer{}); },
+                      [done] { done(makeError(ResultCode::NoQuorum, "lost")); });
+              };
         hooks.sheetChanged = [](const std::shared_ptr<const Sheet> &) {
         };
         hooks.entryStateChanged = [](const EntryStateAnswer &) {
--- a/persimmonlb/ctl/moment_test.cpp
+++ b/persimmonlb/ctl/moment_test.cpp
@@ -1,3 +1,5 @@
+#include <cstdint>
+
 #include <boost/test/unit_test.hpp>
 
 #include "persimmonlb/ctl/moment.h"
@@ -27,7 +29,7 @@
     BOOST_TEST(millis("2026-12-04T10:30:00.250+08:00") == 1796351400000);
     BOOST_TEST(millis("2026-12-03T22:30:00-04:00") == 1796351400000);
     BOOST_TEST(millis("2026-12-04") == 1796342400000);
-    BOOST_TEST(millis("+6h") == 1796351400000 + 6 * 3600000);
+    BOOST_TEST(millis("+6h") == 1796351400000 + std::int64_t{6} * 3600000);
     BOOST_TEST(millis("-30m") == 1796351400000 - 1800000);
 }
 
--- a/persimmonlb/daemon/entryrole.cpp
+++ b/persimmonlb/daemon/entryrole.cpp
@@ -13,6 +13,7 @@
 {
 
 constexpr Milliseconds digestInterval{500};
+constexpr Milliseconds serverTickInterval{100};
 constexpr Milliseconds auditInterval{1000};
 constexpr Milliseconds registerRetry{500};
 constexpr Milliseconds stopConfirmationTimeout{2000};
@@ -675,11 +676,14 @@
     if (parts.registered) {
         parts.lease.tick();
     }
-    parts.servers.tick();
     parts.sendDigests();
-    parts.probeServers();
-    parts.endLostServers();
     parts.drain.tick();
+    if (parts.deps.clock.monotonic() >= parts.nextServerTick) {
+        parts.nextServerTick = parts.deps.clock.monotonic() + serverTickInterval;
+        parts.servers.tick();
+        parts.probeServers();
+        parts.endLostServers();
+    }
     if (!parts.stopping) {
         return;
     }
--- a/persimmonlb/daemon/internal/entryparts.h
+++ b/persimmonlb/daemon/internal/entryparts.h
@@ -93,6 +93,7 @@
     std::set<ServerId> probing;
     bool registered = false;
     MonotonicTime nextDigest;
+    MonotonicTime nextServerTick;
     MonotonicTime nextAudit;
     MonotonicTime stopDeadline;
     bool stopping = false;
--- a/persimmonlb/daemon/node.cpp
+++ b/persimmonlb/daemon/node.cpp
@@ -102,7 +102,10 @@
     if (!mesh || !connected.contains(to)) {
         return false;
     }
-    return mesh->send(to, encodeMessage(PeerMessage{defaultGroup, std::move(body)}));
+    std::string bytes = encodeMessage(PeerMessage{defaultGroup, std::move(body)});
+    metrics.count("persimmonlb_mesh_sent_messages_total", {});
+    metrics.count("persimmonlb_mesh_sent_bytes_total", {}, bytes.size());
+    return mesh->send(to, std::move(bytes));
 }
 
 void Node::Parts::receive(const HostId &from, const PeerBody &body)
--- a/persimmonlb/daemon/supervisor.cpp
+++ b/persimmonlb/daemon/supervisor.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <exception>
-#include <ranges>
 #include <utility>
 
 #include "persimmonlb/base/logline.h"
@@ -71,9 +70,7 @@
 void Supervisor::stopAll()
 {
     stopped_ = true;
-    for (Child &child : std::views::reverse(children_)) {
-        stop(child);
-    }
+    std::for_each(children_.rbegin(), children_.rend(), [this](Child &child) { stop(child); });
 }
 
 bool Supervisor::mayRestart(Child &child)
--- a/persimmonlb/dispatch/dispatcher.cpp
+++ b/persimmonlb/dispatch/dispatcher.cpp
@@ -54,7 +54,11 @@
         return;
     }
     for (const ServiceName &service : hooks_.services()) {
-        startWaiting(service, queues_[service]);
+        ServiceQueue &queue = queues_[service];
+        if (queue.waiting.empty() && !queue.moreWaits) {
+            continue;
+        }
+        startWaiting(service, queue);
     }
 }
 
