--- a/persimmonlb/control/controlclient.cpp
+++ b/persimmonlb/control/controlclient.cpp
@@ -17,18 +17,25 @@
 
 void ControlClient::propose(const Command &command, std::function<void(Outcome<Reply>)> done)
 {
-    add(
-        ProposeRequest{nextRequestId_, encodeCommand(command)},
-        [done](const ControlReply &reply) { done(decodeReply(reply.payload)); },
-        [done](Error error) { done(std::move(error)); });
+    auto answered = [done](const ControlReply &reply) {
+        done(decodeReply(reply.payload));
+    };
+    auto failed = [done = std::move(done)](Error error) {
+        done(std::move(error));
+    };
+    add(ProposeRequest{nextRequestId_, encodeCommand(command)}, std::move(answered),
+        std::move(failed));
 }
 
 void ControlClient::query(const Query &query, std::function<void(Outcome<Answer>)> done)
 {
-    add(
-        QueryRequest{nextRequestId_, encodeQuery(query)},
-        [done](const ControlReply &reply) { done(decodeAnswer(reply.payload)); },
-        [done](Error error) { done(std::move(error)); });
+    auto answered = [done](const ControlReply &reply) {
+        done(decodeAnswer(reply.payload));
+    };
+    auto failed = [done = std::move(done)](Error error) {
+        done(std::move(error));
+    };
+    add(QueryRequest{nextRequestId_, encodeQuery(query)}, std::move(answered), std::move(failed));
 }
 
 void ControlClient::add(PeerBody body, std::function<void(const ControlReply &)> answered,
--- a/persimmonlb/ctl/httpcall.cpp
+++ b/persimmonlb/ctl/httpcall.cpp
@@ -31,7 +31,7 @@
 constexpr auto asTuple = asio::as_tuple(asio::use_awaitable);
 constexpr unsigned httpVersion = 11;
 constexpr std::uint64_t maxAnswerBytes = 1024ULL * 1024 * 1024;
-constexpr std::size_t pieceBytes = 16 * 1024;
+constexpr std::size_t pieceBytes = std::size_t{16} * 1024;
 
 using WireRequest = http::request<http::string_body>;
 using Parser = http::response_parser<http::buffer_body>;
