--- a/persimmonlb/api/batchapi.cpp
+++ b/persimmonlb/api/batchapi.cpp
@@ -9,6 +9,7 @@
 #include "persimmonlb/api/batchlines.h"
 #include "persimmonlb/base/digest.h"
 #include "persimmonlb/sheet/callerkey.h"
+#include "persimmonlb/state/pick.h"
 
 namespace persimmonlb
 {
@@ -96,23 +97,6 @@
     return JobId{"job-" + sha256Hex(caller.value + "\n" + key).substr(0, digits)};
 }
 
-template <typename Value>
-Outcome<Value> pick(const Outcome<Reply> &reply)
-{
-    if (!reply.ok()) {
-        return reply.error();
-    }
-    if (const Value *value = std::get_if<Value>(&reply.value())) {
-        return *value;
-    }
-    if (const PlainReply *plain = std::get_if<PlainReply>(&reply.value())) {
-        if (plain->code != ResultCode::Ok) {
-            return makeError(plain->code, plain->message);
-        }
-    }
-    return makeError(ResultCode::Internal, "the control group sent a reply of another kind");
-}
-
 } // namespace
 
 struct BatchApi::Submission {
--- a/persimmonlb/api/operatorapi.cpp
+++ b/persimmonlb/api/operatorapi.cpp
@@ -8,6 +8,7 @@
 
 #include "persimmonlb/base/digest.h"
 #include "persimmonlb/sheet/callerkey.h"
+#include "persimmonlb/state/pick.h"
 
 namespace persimmonlb
 {
@@ -53,18 +54,6 @@
     return value;
 }
 
-template <typename Value>
-Outcome<Value> pick(const Outcome<Answer> &answer)
-{
-    if (!answer.ok()) {
-        return answer.error();
-    }
-    if (const Value *value = std::get_if<Value>(&answer.value())) {
-        return *value;
-    }
-    return makeError(ResultCode::Internal, "the control group sent an answer of another kind");
-}
-
 } // namespace
 
 OperatorApi::OperatorApi(ApiDeps deps, OperatorDeps operatorDeps, BatchApi &batches)
--- a/persimmonlb/daemon/internal/entryparts.h
+++ b/persimmonlb/daemon/internal/entryparts.h
@@ -33,7 +33,7 @@
     Parts &operator=(const Parts &) = delete;
     ~Parts();
 
-    // How the parts see this host.
+    // How the parts see this host (entryparts.cpp).
     [[nodiscard]] std::optional<Error> admission() const;
     [[nodiscard]] std::vector<std::string> otherHosts() const;
     [[nodiscard]] std::vector<EntryHostInfo> listedHosts() const;
@@ -43,7 +43,7 @@
     std::unique_ptr<HttpExchange> sendToServer(const std::string &address, HttpRequest request,
                                                Milliseconds deadline, HttpExchangeHooks hooks);
 
-    // Wiring.
+    // Hooks between the parts (entrywiring.cpp).
     void fetchEntryState(std::function<void(Outcome<EntryStateAnswer>)> done);
     SuspectsHooks suspectsHooks();
     LeaseKeeperHooks leaseHooks();
@@ -63,7 +63,7 @@
     void refuse(const HttpRequest &request, const Error &error, const ResponderPtr &responder);
     [[nodiscard]] std::string serversJson() const;
 
-    // Periodic work.
+    // Periodic work and notes (entryupkeep.cpp).
     void sendDigests();
     void probeServers();
     void askState(const ServerId &id, const std::string &address,
--- a/persimmonlb/http/http_bench.cpp
+++ b/persimmonlb/http/http_bench.cpp
@@ -126,8 +126,8 @@
 /// Forwards each request to `backend` and streams the answer back as it comes.
 HttpHandler makeProxy(HttpClient &client, std::string backend)
 {
-    return [&client, backend = std::move(backend)](HttpRequest request,
-                                                   std::shared_ptr<HttpResponder> responder) {
+    return [&client, backend = std::move(backend)](
+               HttpRequest request, const std::shared_ptr<HttpResponder> &responder) {
         auto keep = std::make_shared<std::unique_ptr<HttpExchange>>();
         *keep = client.start(
             backend, std::move(request), Milliseconds(10000),
