--- a/persimmonlb/daemon/entryhttp.cpp
+++ b/persimmonlb/daemon/entryhttp.cpp
@@ -40,7 +40,7 @@
     responder->respond(errorResponse(error));
 }
 
-void EntryRole::Parts::handle(HttpRequest request, ResponderPtr responder)
+void EntryRole::Parts::handle(HttpRequest request, const ResponderPtr &responder)
 {
     const Outcome<HttpTarget> parsed = parseTarget(request.target);
     if (!parsed.ok()) {
@@ -55,11 +55,11 @@
             refuse(request, makeError(code, request.method + " " + target.path), responder);
             return;
         }
-        online.handleChat(std::move(request), std::move(responder));
+        online.handleChat(std::move(request), responder);
         return;
     }
     if (!target.segments.empty() && target.segments[0] == "services") {
-        online.handlePlain(std::move(request), std::move(responder));
+        online.handlePlain(std::move(request), responder);
         return;
     }
     if (startsWith(target, "v1", "batches")) {
--- a/persimmonlb/daemon/entryrole.cpp
+++ b/persimmonlb/daemon/entryrole.cpp
@@ -35,8 +35,8 @@
     options.idleTimeout = entry.idleTimeout;
     BOOST_LEAF_AUTO(server,
                     HttpServer::listen(parts_->deps.context, entry.listen, options,
-                                       [this](HttpRequest request, ResponderPtr responder) {
-                                           parts_->handle(std::move(request), std::move(responder));
+                                       [this](HttpRequest request, const ResponderPtr &responder) {
+                                           parts_->handle(std::move(request), responder);
                                        }));
     parts_->server = std::move(server);
     LogLine(LogLevel::Info, "listening").add("address", entry.listen).write();
--- a/persimmonlb/daemon/internal/entryparts.h
+++ b/persimmonlb/daemon/internal/entryparts.h
@@ -55,7 +55,7 @@
     void registerHost();
 
     // HTTP (entryhttp.cpp).
-    void handle(HttpRequest request, ResponderPtr responder);
+    void handle(HttpRequest request, const ResponderPtr &responder);
     void handleAnnounce(const HttpRequest &request, const ResponderPtr &responder);
     void handleDirectory(const HttpRequest &request, const HttpTarget &target,
                          const ResponderPtr &responder);
--- a/persimmonlb/membership/servertable_test.cpp
+++ b/persimmonlb/membership/servertable_test.cpp
@@ -180,7 +180,8 @@
         if (now_.count() % 100 == 0) {
             table(host).tick();
         }
-        if ((now_.count() + static_cast<std::int64_t>(host) * 150) % 500 == 0 || table(host).takeChanged()) {
+        if ((now_.count() + static_cast<std::int64_t>(host) * 150) % 500 == 0
+            || table(host).takeChanged()) {
             sendDigests(host);
         }
     }
--- a/persimmonlb/routing/router.cpp
+++ b/persimmonlb/routing/router.cpp
@@ -160,10 +160,10 @@
 Choice Router::take(const RouteQuery &query, const Option &option)
 {
     const ServerAnnouncement &said = option.known.announcement;
-    const Choice choice{.server = said.server,
-                        .address = said.address,
-                        .incarnation = said.incarnation,
-                        .ticket = nextTicket_++};
+    Choice choice{.server = said.server,
+                  .address = said.address,
+                  .incarnation = said.incarnation,
+                  .ticket = nextTicket_++};
     tickets_.emplace(choice.ticket,
                      Ticket{.server = said.server,
                             .service = query.service,
--- a/persimmonlb/serving/internal/onlineattempt.cpp
+++ b/persimmonlb/serving/internal/onlineattempt.cpp
@@ -46,7 +46,7 @@
 {
     const std::uint64_t number = ++attemptNumber_;
     ++end_.attempts;
-    attempt_.emplace();
+    attempt_ = Attempt{};
     attempt_->number = number;
     attempt_->resumes = answer_.started();
     stream_.reopen();
--- a/persimmonlb/serving/internal/onlinecall.cpp
+++ b/persimmonlb/serving/internal/onlinecall.cpp
@@ -31,7 +31,7 @@
     , runId_(context.options.self.host.value + "-"
              + std::to_string(context.options.self.incarnation) + "-" + std::to_string(id))
     , callerId_(request_.requestId.empty() ? runId_ : request_.requestId)
-    , answer_(responder, context.options.maxUnwrittenBytes,
+    , answer_(std::move(responder), context.options.maxUnwrittenBytes,
               [this](bool paused) {
                   if (!attempt_ || !attempt_->exchange) {
                       return;
@@ -323,16 +323,17 @@
         return;
     }
     ++recordsPending_;
-    const bool first = claim_->close(state, std::move(answer), [weak = weak_from_this(), recorded] {
-        const auto self = weak.lock();
-        if (recorded) {
-            recorded();
-        }
-        if (self) {
-            --self->recordsPending_;
-            self->removeWhenOver();
-        }
-    });
+    const bool first = claim_->close(state, std::move(answer),
+                                     [weak = weak_from_this(), recorded = std::move(recorded)] {
+                                         const auto self = weak.lock();
+                                         if (recorded) {
+                                             recorded();
+                                         }
+                                         if (self) {
+                                             --self->recordsPending_;
+                                             self->removeWhenOver();
+                                         }
+                                     });
     if (!first) {
         --recordsPending_;
     }
--- a/persimmonlb/serving/onlineservice.cpp
+++ b/persimmonlb/serving/onlineservice.cpp
@@ -18,8 +18,8 @@
 } // namespace
 
 struct OnlineService::Parts {
-    Parts(OnlineOptions options, Clock clock, Router &router, QuotaGate &gate, Suspects &suspects,
-          OnlineHooks hooks)
+    Parts(const OnlineOptions &options, Clock clock, Router &router, QuotaGate &gate,
+          Suspects &suspects, OnlineHooks hooks)
         : context{.options = options,
                   .clock = std::move(clock),
                   .router = router,
@@ -201,18 +201,18 @@
     sweepLater();
 }
 
-OnlineService::OnlineService(OnlineOptions options, Clock clock, RandomSource random,
+OnlineService::OnlineService(const OnlineOptions &options, Clock clock, RandomSource random,
                              Router &router, QuotaGate &quota, Suspects &suspects,
                              OnlineHooks hooks)
     : random_(std::move(random))
-    , parts_(std::make_unique<Parts>(std::move(options), std::move(clock), router, quota, suspects,
+    , parts_(std::make_unique<Parts>(options, std::move(clock), router, quota, suspects,
                                      std::move(hooks)))
 {
 }
 
 OnlineService::~OnlineService() = default;
 
-void OnlineService::handleChat(HttpRequest request, std::shared_ptr<HttpResponder> responder)
+void OnlineService::handleChat(HttpRequest request, const std::shared_ptr<HttpResponder> &responder)
 {
     if (request.method != "POST") {
         parts_->refuse(request, responder, makeError(ResultCode::MethodNotAllowed, "use POST"), {});
@@ -224,7 +224,8 @@
     });
 }
 
-void OnlineService::handlePlain(HttpRequest request, std::shared_ptr<HttpResponder> responder)
+void OnlineService::handlePlain(HttpRequest request,
+                                const std::shared_ptr<HttpResponder> &responder)
 {
     parts_->handle(request, responder, [this, &request](const Sheet &sheet) {
         Outcome<CallerRequest> result = readPlainRequest(request, sheet);
--- a/persimmonlb/serving/onlineservice.h
+++ b/persimmonlb/serving/onlineservice.h
@@ -91,14 +91,14 @@
 class OnlineService
 {
 public:
-    OnlineService(OnlineOptions options, Clock clock, RandomSource random, Router &router,
+    OnlineService(const OnlineOptions &options, Clock clock, RandomSource random, Router &router,
                   QuotaGate &quota, Suspects &suspects, OnlineHooks hooks);
     OnlineService(const OnlineService &) = delete;
     OnlineService &operator=(const OnlineService &) = delete;
     ~OnlineService();
 
-    void handleChat(HttpRequest request, std::shared_ptr<HttpResponder> responder);
-    void handlePlain(HttpRequest request, std::shared_ptr<HttpResponder> responder);
+    void handleChat(HttpRequest request, const std::shared_ptr<HttpResponder> &responder);
+    void handlePlain(HttpRequest request, const std::shared_ptr<HttpResponder> &responder);
 
     /// Requests whose answer has not ended or whose outcome is not yet recorded.
     [[nodiscard]] std::size_t openRequests() const;
--- a/persimmonlb/sheet/callerkey.cpp
+++ b/persimmonlb/sheet/callerkey.cpp
@@ -17,7 +17,7 @@
 Result<CallerName> authenticateCaller(const Sheet &sheet, std::string_view name,
                                       std::string_view authorization)
 {
-    const CallerName caller{std::string(name.empty() ? anonymousCaller : name)};
+    CallerName caller{std::string(name.empty() ? anonymousCaller : name)};
     const SheetQuota *quota = sheet.findQuota(caller);
     if (quota == nullptr || quota->keyDigest.empty()) {
         return caller;
