--- a/persimmonlb/serving/testing/fakes.cpp
+++ b/persimmonlb/serving/testing/fakes.cpp
@@ -93,7 +93,7 @@
 {
 }
 
-void FakeLog::propose(const Command &command, std::function<void(Outcome<Reply>)> done)
+void FakeLog::propose(const Command &command, const std::function<void(Outcome<Reply>)> &done)
 {
     const Error noQuorum = makeError(ResultCode::NoQuorum, "no quorum");
     if (fault == Fault::Unreachable) {
@@ -112,7 +112,7 @@
     });
 }
 
-void FakeLog::fetchState(std::function<void(Outcome<EntryStateAnswer>)> done)
+void FakeLog::fetchState(const std::function<void(Outcome<EntryStateAnswer>)> &done)
 {
     time_.after(logDelay, [this, done] {
         time_.after(logDelay, [done, state = entryState()] { done(state); });
@@ -149,13 +149,17 @@
     }
     if (known.request.bodyDigest != request.bodyDigest) {
         reply.state = ClaimState::Conflict;
-    } else if (known.closedIds.contains(request.requestId)) {
-        reply.state = known.state;
-        reply.answer = known.answer;
-    } else if (known.state == ClaimState::NotSent) {
+        return reply;
+    }
+    const bool closed = known.closedIds.contains(request.requestId);
+    if (!closed && known.state == ClaimState::NotSent) {
         known.request = request;
         known.state = ClaimState::Running;
-    } else if (known.state != ClaimState::Running || known.request.requestId != request.requestId) {
+        return reply;
+    }
+    const bool sameRun
+        = known.state == ClaimState::Running && known.request.requestId == request.requestId;
+    if (closed || !sameRun) {
         reply.state = known.state;
         reply.answer = known.answer;
     }
--- a/persimmonlb/serving/testing/fakes.h
+++ b/persimmonlb/serving/testing/fakes.h
@@ -45,8 +45,8 @@
 
     explicit FakeLog(VirtualTime &time);
 
-    void propose(const Command &command, std::function<void(Outcome<Reply>)> done);
-    void fetchState(std::function<void(Outcome<EntryStateAnswer>)> done);
+    void propose(const Command &command, const std::function<void(Outcome<Reply>)> &done);
+    void fetchState(const std::function<void(Outcome<EntryStateAnswer>)> &done);
     /// The owner's lease ran out: its open claims become unknown.
     void releaseOwner(const Owner &owner);
     [[nodiscard]] EntryStateAnswer entryState() const;
--- a/persimmonlb/serving/testing/servingbench.cpp
+++ b/persimmonlb/serving/testing/servingbench.cpp
@@ -78,18 +78,19 @@
     result.fetchState = [&log, alive = alive](std::function<void(Outcome<EntryStateAnswer>)> done) {
         log.fetchState(whileAlive(alive, std::move(done)));
     };
-    result.probe = [this, &time, &fleet](const ServerId &server,
-                                         std::function<void(Outcome<ServerAnnouncement>)> done) {
-        const auto known = table.find(server);
-        const bool lives = known && fleet.isAlive(known->announcement.address);
-        ServerAnnouncement said = known ? known->announcement : ServerAnnouncement{};
-        said.incarnation = fleet.incarnation(said.address);
-        time.after(Milliseconds(2), [done, lives, said] {
-            done(lives ? Outcome<ServerAnnouncement>(said)
-                       : Outcome<ServerAnnouncement>(
-                           makeError(ResultCode::BackendConnectFailed, "refused")));
-        });
-    };
+    result.probe
+        = [this, &time, &fleet](const ServerId &server,
+                                const std::function<void(Outcome<ServerAnnouncement>)> &done) {
+              const auto known = table.find(server);
+              const bool lives = known && fleet.isAlive(known->announcement.address);
+              ServerAnnouncement said = known ? known->announcement : ServerAnnouncement{};
+              said.incarnation = fleet.incarnation(said.address);
+              time.after(Milliseconds(2), [done, lives, said] {
+                  done(lives ? Outcome<ServerAnnouncement>(said)
+                             : Outcome<ServerAnnouncement>(
+                                 makeError(ResultCode::BackendConnectFailed, "refused")));
+              });
+          };
     return result;
 }
 
@@ -203,7 +204,7 @@
 std::shared_ptr<FakeResponder> ServingBench::chat(std::size_t entry, const std::string &prompt,
                                                   bool stream, HttpHeaders headers)
 {
-    const auto responder = makeResponder();
+    auto responder = makeResponder();
     entries[entry]->service.handleChat(HttpRequest{.method = "POST",
                                                    .target = "/v1/chat/completions",
                                                    .headers = std::move(headers),
@@ -217,7 +218,7 @@
                                                   const std::string &body,
                                                   const std::string &deadlineMs)
 {
-    const auto responder = makeResponder();
+    auto responder = makeResponder();
     HttpRequest request{.method = "POST",
                         .target = "/services/booking-app/accept",
                         .headers = {},
@@ -233,14 +234,14 @@
 
 std::shared_ptr<FakeResponder> ServingBench::makeResponder()
 {
-    const auto responder = std::make_shared<FakeResponder>();
+    auto responder = std::make_shared<FakeResponder>();
     responder->ended = [this, &responder = *responder] {
         responder.runsAtEnd = fleet.runs.size();
     };
     return responder;
 }
 
-void ServingBench::repeat(Milliseconds interval, Milliseconds end, std::function<void()> fn)
+void ServingBench::repeat(Milliseconds interval, Milliseconds end, const std::function<void()> &fn)
 {
     for (Milliseconds at = interval; at <= end; at += interval) {
         time.after(at, fn);
--- a/persimmonlb/serving/testing/servingbench.h
+++ b/persimmonlb/serving/testing/servingbench.h
@@ -62,7 +62,7 @@
                                         const std::string &deadlineMs = "5000");
     void run(Milliseconds duration);
     /// Calls `fn` each `interval` until `end` from now.
-    void repeat(Milliseconds interval, Milliseconds end, std::function<void()> fn);
+    void repeat(Milliseconds interval, Milliseconds end, const std::function<void()> &fn);
     static std::string address(std::uint32_t server);
     [[nodiscard]] std::string fingerprint(const std::string &prompt, bool stream = false) const;
 
--- a/persimmonlb/sheet/internal/tablereader.cpp
+++ b/persimmonlb/sheet/internal/tablereader.cpp
@@ -98,7 +98,7 @@
 std::string TableReader::choice(std::string_view key, const std::vector<std::string> &choices,
                                 const std::string &fallback)
 {
-    const std::string value = text(key, fallback.empty()).value_or(fallback);
+    std::string value = text(key, fallback.empty()).value_or(fallback);
     if (std::ranges::find(choices, value) == choices.end()) {
         refuse(key, "must be " + joined(choices));
     }
