--- a/persimmonlb/state/replicatedstate.cpp
+++ b/persimmonlb/state/replicatedstate.cpp
@@ -35,7 +35,7 @@
 
 } // namespace
 
-ReplicatedState::ReplicatedState(StateStore store)
+ReplicatedState::ReplicatedState(const StateStore &store)
     : store_(store)
     , sheets_(store)
     , jobs_(store,
--- a/persimmonlb/state/replicatedstate.h
+++ b/persimmonlb/state/replicatedstate.h
@@ -46,7 +46,7 @@
 class ReplicatedState
 {
 public:
-    explicit ReplicatedState(StateStore store);
+    explicit ReplicatedState(const StateStore &store);
     ReplicatedState(const ReplicatedState &) = delete;
     ReplicatedState &operator=(const ReplicatedState &) = delete;
 
