--- a/persimmonlb/store/syncmark.cpp
+++ b/persimmonlb/store/syncmark.cpp
@@ -78,7 +78,7 @@
     if (created < 0) {
         return fail(ResultCode::DataFolderUnusable, path + ": " + reason());
     }
-    const SyncMark mark(created, 0);
+    SyncMark mark(created, 0);
     BOOST_LEAF_CHECK(mark.write(0));
     if (::fsync(created) != 0 || !syncFolder(folder)) {
         return fail(ResultCode::DataFolderUnusable, path + ": " + reason());
