persimmonlbctl job wait goes on while a host cannot serve now

Cause: process test lost_disks failed once in a clean clone: 'job wait' met the new host, which had no sheet yet, and took its refusal (304, 503) as final. Ruled out: a lost job; it finished in the runs after.

--- a/persimmonlb/ctl/commands_test.cpp
+++ b/persimmonlb/ctl/commands_test.cpp
@@ -186,6 +186,23 @@
     BOOST_TEST((fixture.run({"sheet", "status"}) == ExitCode::OutcomeUnknown));
 }
 
+BOOST_AUTO_TEST_CASE(waitingForAJobOutlivesAHostThatCannotServeNow)
+{
+    CommandFixture fixture;
+    fixture.answers = {{ExitCode::Refused, 503, R"({"error":{"code":304}})", std::nullopt, ""},
+                       ok(R"({"id":"job-1","state":"finished"})")};
+    BOOST_TEST((fixture.run({"job", "wait", "job-1"}) == ExitCode::Ok));
+    BOOST_TEST(fixture.requests.size() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(waitingForAJobEndsWhenThereIsNone)
+{
+    CommandFixture fixture;
+    fixture.answers = {{ExitCode::Refused, 404, R"({"error":{"code":106}})", std::nullopt, ""}};
+    BOOST_TEST((fixture.run({"job", "wait", "job-1"}) == ExitCode::Refused));
+    BOOST_TEST(fixture.requests.size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(resultsThatDoNotArriveLeaveTheEarlierFileAlone)
 {
     CommandFixture fixture;
--- a/persimmonlb/ctl/jobcommands.cpp
+++ b/persimmonlb/ctl/jobcommands.cpp
@@ -1,3 +1,4 @@
+#include <cstdint>
 #include <cstdio>
 #include <fstream>
 #include <ostream>
@@ -18,6 +19,8 @@
 namespace
 {
 
+constexpr std::uint16_t serviceUnavailable = 503;
+
 std::string jobTarget(const std::string &id)
 {
     return "/v1/batches/" + urlEncode(id);
@@ -158,7 +161,9 @@
         answer = session.call(session.request("GET", jobTarget(id)));
         const Json job = parseObject(answer.body);
         progress = answer.ok() ? countsOf(job) : "no answer yet";
-        return answer.exit == ExitCode::Refused || (answer.ok() && hasEnded(job));
+        const bool refusedForGood
+            = answer.exit == ExitCode::Refused && answer.status != serviceUnavailable;
+        return refusedForGood || (answer.ok() && hasEnded(job));
     });
     if (!answer.ok()) {
         return session.reportFailure(answer, "Repeat: persimmonlbctl job wait " + id);
