--- a/persimmonlb/wire/message_test.cpp
+++ b/persimmonlb/wire/message_test.cpp
@@ -110,6 +110,7 @@
         YieldRequest{.server = {"s1"}, .slots = 2},
     };
     std::vector<PeerMessage> messages;
+    messages.reserve(bodies.size());
     for (PeerBody &body : bodies) {
         messages.push_back({7, std::move(body)});
     }
