--- a/scripts/lib/cluster.sh
+++ b/scripts/lib/cluster.sh
@@ -225,3 +225,25 @@
 submit_job() {
   market --json job submit --service lettering-lm "$1" | grep -o 'job-[0-9a-f]*' | head -1
 }
+
+# start_fleet N   N entry hosts, the first three also control hosts, with examples/sheet.toml in force.
+start_fleet() {
+  local count=$1 i j
+  plan_hosts "$count"
+  for ((i = 3; i < count; i++)); do
+    sed -i 's/^roles = .*/roles = ["entry"]/' "$work/host-$i/settings.toml"
+  done
+  for ((i = 0; i < count; i++)); do
+    for ((j = 3; j < count; j++)); do
+      sed -i "/^host = \"host-$j\"\$/,/^control = /s/^control = .*/control = false/" \
+        "$work/host-$i/settings.toml"
+    done
+    start_host "host-$i"
+  done
+  for ((i = 0; i < count; i++)); do
+    wait_for 20 curl -sf "${urls[$i]}/healthz" || return 1
+  done
+  wait_for 20 ctl group init host-0 host-1 host-2
+  wait_for 20 ctl sheet apply examples/sheet.toml
+  wait_for 30 sheet_in_force
+}
