Wire: members of a CBOR map are a type of their own

Cause: clang refuses std::pair of an incomplete type in cborvalue.h (lint failed on wire/message.cpp); g++ takes it. Ruled out: a wrong include; the type is recursive. Behaviour is the same, wire tests cover it.

--- a/persimmonlb/wire/internal/cborvalue.cpp
+++ b/persimmonlb/wire/internal/cborvalue.cpp
@@ -1,6 +1,7 @@
 #include "persimmonlb/wire/internal/cborvalue.h"
 
 #include <map>
+#include <utility>
 
 #include <nlohmann/json.hpp>
 
@@ -60,7 +61,7 @@
     }
     bool key(std::string &name)
     {
-        std::get<CborMap>(open_.back()->data).emplace_back(std::move(name), CborValue());
+        std::get<CborMap>(open_.back()->data).push_back({std::move(name), CborValue()});
         return true;
     }
     bool end_object()
@@ -115,7 +116,7 @@
             array->push_back(std::move(value));
             return &array->back();
         }
-        CborValue &slot = std::get<CborMap>(open_.back()->data).back().second;
+        CborValue &slot = std::get<CborMap>(open_.back()->data).back().value;
         slot = std::move(value);
         return &slot;
     }
--- a/persimmonlb/wire/internal/cborvalue.h
+++ b/persimmonlb/wire/internal/cborvalue.h
@@ -4,7 +4,6 @@
 #include <optional>
 #include <string>
 #include <string_view>
-#include <utility>
 #include <variant>
 #include <vector>
 
@@ -12,9 +11,10 @@
 {
 
 struct CborValue;
+struct CborMember;
 
 using CborArray = std::vector<CborValue>;
-using CborMap = std::vector<std::pair<std::string, CborValue>>;
+using CborMap = std::vector<CborMember>;
 
 /// One decoded CBOR item. Text and byte strings are not told apart.
 struct CborValue {
@@ -23,6 +23,12 @@
         data;
 };
 
+/// One name of a map with its value.
+struct CborMember {
+    std::string name;
+    CborValue value;
+};
+
 /// Parses one item that fills `bytes`. Nothing when it is broken, tagged, or nested deeper than
 /// maxCborDepth. Never throws. Each item takes about 40 bytes of memory, however small it is.
 std::optional<CborValue> parseCbor(std::string_view bytes);
