One rule for the batch owner of a server

Cause: the rendezvous key and the list of hosts that decide who sends batch items to a server stood in two files (entryparts.cpp, entryupkeep.cpp); had one changed, yields would have gone to the wrong host. Behaviour is the same.

--- a/persimmonlb/daemon/entryparts.cpp
+++ b/persimmonlb/daemon/entryparts.cpp
@@ -206,6 +206,11 @@
     return hosts;
 }
 
+HostId EntryRole::Parts::batchOwner(const ServerId &server) const
+{
+    return rendezvousHost("batch:" + server.value, dispatchHosts(server));
+}
+
 std::vector<DispatchServer> EntryRole::Parts::ownedServers(const ServiceName &service) const
 {
     const auto sheet = lease.sheet();
@@ -220,8 +225,7 @@
         if (model != nullptr && (said.model != model->name || said.version != model->version)) {
             continue;
         }
-        if (rendezvousHost("batch:" + said.server.value, dispatchHosts(said.server))
-            != deps.self.host) {
+        if (batchOwner(said.server) != deps.self.host) {
             continue;
         }
         if (router.ejected(said.server)) {
--- a/persimmonlb/daemon/entryupkeep.cpp
+++ b/persimmonlb/daemon/entryupkeep.cpp
@@ -20,7 +20,7 @@
     }
     const std::uint32_t own = dispatcher.yield(server, slots);
     deps.metrics.count("persimmonlb_batch_yields_total", {}, own);
-    const HostId owner = rendezvousHost("batch:" + server.value, dispatchHosts(server));
+    const HostId owner = batchOwner(server);
     if (own < slots && !owner.empty() && owner != deps.self.host) {
         deps.send(owner, YieldRequest{server, slots - own});
     }
--- a/persimmonlb/daemon/internal/entryparts.h
+++ b/persimmonlb/daemon/internal/entryparts.h
@@ -38,6 +38,8 @@
     [[nodiscard]] std::vector<std::string> otherHosts() const;
     [[nodiscard]] std::vector<EntryHostInfo> listedHosts() const;
     [[nodiscard]] std::vector<HostId> dispatchHosts(const ServerId &server) const;
+    /// The entry host that sends batch items to the server; empty when none hears it.
+    [[nodiscard]] HostId batchOwner(const ServerId &server) const;
     [[nodiscard]] std::vector<DispatchServer> ownedServers(const ServiceName &service) const;
     [[nodiscard]] std::vector<ServiceName> services() const;
     std::unique_ptr<HttpExchange> sendToServer(const std::string &address, HttpRequest request,
