--- /dev/null
+++ b/persimmonlb/fleet/fleetregistry.cpp
@@ -0,0 +1,223 @@
+#include "persimmonlb/fleet/fleetregistry.h"
+
+#include <utility>
+
+#include "persimmonlb/base/logline.h"
+
+namespace persimmonlb
+{
+
+namespace
+{
+
+/// The parts of an announcement that others act on.
+bool sameForOthers(FleetServer left, const FleetServer &right)
+{
+    left.sequence = right.sequence;
+    return left == right;
+}
+
+void logServer(const char *event, const FleetServer &server)
+{
+    LogLine(LogLevel::Info, event)
+        .add("server", server.id.value)
+        .add("service", server.service.value)
+        .add("address", server.address)
+        .add("born", static_cast<std::int64_t>(server.bornMs))
+        .add("sequence", static_cast<std::int64_t>(server.sequence))
+        .add("draining", server.draining ? "yes" : "no")
+        .write();
+}
+
+} // namespace
+
+FleetRegistry::FleetRegistry(FleetRegistryOptions options, Clock clock)
+    : options_(options)
+    , clock_(std::move(clock))
+{
+}
+
+bool FleetRegistry::announce(const FleetServer &server)
+{
+    const auto ended = ended_.find(server.id);
+    if (ended != ended_.end() && server.bornMs <= ended->second.bornMs) {
+        return false;
+    }
+    const auto known = servers_.find(server.id);
+    if (known != servers_.end()) {
+        FleetServer &info = known->second.info;
+        const auto order = std::pair(server.bornMs, server.sequence);
+        if (order <= std::pair(info.bornMs, info.sequence)) {
+            return false;
+        }
+        if (!takeAddress(server)) {
+            return false;
+        }
+        known->second.heardAt = clock_.monotonic();
+        if (!sameForOthers(info, server)) {
+            ++version_;
+            logServer("server_changed", server);
+        }
+        info = server;
+        return true;
+    }
+    if (!takeAddress(server)) {
+        return false;
+    }
+    servers_.emplace(server.id, Server{server, clock_.monotonic()});
+    ++version_;
+    logServer("server_joined", server);
+    return true;
+}
+
+bool FleetRegistry::takeAddress(const FleetServer &server)
+{
+    for (const auto &[id, other] : servers_) {
+        if (id == server.id || other.info.address != server.address) {
+            continue;
+        }
+        if (other.info.bornMs >= server.bornMs) {
+            return false;
+        }
+        const FleetServer former = other.info;
+        endLife(former);
+        return true;
+    }
+    return true;
+}
+
+void FleetRegistry::endLife(const FleetServer &server)
+{
+    ended_[server.id] = Ended{server.bornMs, clock_.monotonic()};
+    servers_.erase(server.id);
+    ++version_;
+    logServer("server_ended", server);
+}
+
+void FleetRegistry::serverGone(const ServerId &id)
+{
+    const auto known = servers_.find(id);
+    if (known != servers_.end()) {
+        const FleetServer info = known->second.info;
+        endLife(info);
+    }
+}
+
+void FleetRegistry::report(const HostId &from, const HostReport &report)
+{
+    const MonotonicTime now = clock_.monotonic();
+    if (!report.address.empty()) {
+        const FleetEntry info{.host = from,
+                              .address = report.address,
+                              .availabilityZone = report.availabilityZone,
+                              .region = report.region,
+                              .draining = report.draining};
+        Entry &entry = entries_[from];
+        entry.heardAt = now;
+        if (entry.info != info) {
+            entry.info = info;
+            ++version_;
+        }
+    }
+    if (!report.member.empty()) {
+        ReportedStore &known = stores_[from];
+        const FleetStore store{.host = from,
+                               .name = report.name,
+                               .meshAddress = report.meshAddress,
+                               .controlAddress = report.controlAddress};
+        version_ += known.store == store ? 0 : 1;
+        known = ReportedStore{store, report.member, report.unused, now};
+    }
+}
+
+void FleetRegistry::hostLost(const HostId &host)
+{
+    version_ += entries_.erase(host);
+}
+
+void FleetRegistry::adopt(const FleetView &view)
+{
+    const MonotonicTime now = clock_.monotonic();
+    for (const FleetServer &server : view.servers) {
+        const auto known = servers_.find(server.id);
+        if (known == servers_.end()
+            || std::pair(known->second.info.bornMs, known->second.info.sequence)
+                < std::pair(server.bornMs, server.sequence)) {
+            servers_[server.id] = Server{server, now};
+        }
+    }
+    std::set<ServerId> named;
+    for (const FleetServer &server : view.servers) {
+        named.insert(server.id);
+    }
+    for (auto &[id, server] : servers_) {
+        server.heardAt = now;
+    }
+    std::erase_if(servers_, [&named](const auto &entry) { return !named.contains(entry.first); });
+    for (const FleetStore &store : view.stores) {
+        if (!stores_.contains(store.host)) {
+            stores_[store.host].store = store;
+        }
+    }
+    ++version_;
+}
+
+void FleetRegistry::tick()
+{
+    const MonotonicTime now = clock_.monotonic();
+    std::vector<FleetServer> silent;
+    for (const auto &[id, server] : servers_) {
+        if (now - server.heardAt > options_.serverSilence) {
+            silent.push_back(server.info);
+        }
+    }
+    for (const FleetServer &server : silent) {
+        servers_.erase(server.id);
+        ++version_;
+        logServer("server_silent", server);
+    }
+    std::erase_if(ended_,
+                  [&](const auto &entry) { return now - entry.second.at > options_.endedMemory; });
+    version_ += std::erase_if(entries_, [&](const auto &entry) {
+        return now - entry.second.heardAt > options_.entrySilence;
+    });
+}
+
+std::vector<FleetServer> FleetRegistry::servers() const
+{
+    std::vector<FleetServer> result;
+    for (const auto &[id, server] : servers_) {
+        result.push_back(server.info);
+    }
+    return result;
+}
+
+std::vector<FleetEntry> FleetRegistry::entries() const
+{
+    std::vector<FleetEntry> result;
+    for (const auto &[host, entry] : entries_) {
+        result.push_back(entry.info);
+    }
+    return result;
+}
+
+std::vector<FleetStore> FleetRegistry::stores() const
+{
+    std::vector<FleetStore> result;
+    for (const auto &[host, reported] : stores_) {
+        result.push_back(reported.store);
+    }
+    return result;
+}
+
+const std::map<HostId, ReportedStore> &FleetRegistry::reportedStores() const
+{
+    return stores_;
+}
+
+std::uint64_t FleetRegistry::version() const
+{
+    return version_;
+}
+
+} // namespace persimmonlb
--- /dev/null
+++ b/persimmonlb/fleet/fleetregistry.h
@@ -0,0 +1,91 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "persimmonlb/base/clock.h"
+#include "persimmonlb/base/ids.h"
+#include "persimmonlb/fleet/fleetview.h"
+
+namespace persimmonlb
+{
+
+struct FleetRegistryOptions {
+    /// A server that was not heard for so long is taken for lost. Announcements come each
+    /// 1.2 s and may be seconds late.
+    Milliseconds serverSilence{6000};
+    /// An entry host that sends no report for so long is no longer named to callers.
+    Milliseconds entrySilence{1500};
+    /// How long the end of a life is remembered against late announcements of it.
+    Milliseconds endedMemory{120000};
+};
+
+/// A storage host as it reports itself.
+struct ReportedStore {
+    FleetStore store;
+    HostId member;
+    bool unused = false; ///< Its store was never part of a group.
+    MonotonicTime heardAt;
+
+    bool operator==(const ReportedStore &) const = default;
+};
+
+/// What the leader knows of backend servers, entry hosts and storage hosts, from their own words.
+///
+/// Lives of servers are ordered by their start and by the number of each announcement, so that a
+/// late announcement revives nothing. Not thread-safe.
+class FleetRegistry
+{
+public:
+    FleetRegistry(FleetRegistryOptions options, Clock clock);
+
+    /// Takes an announcement. False when it is of a life that has ended or an older one.
+    bool announce(const FleetServer &server);
+    /// The server ends its registration.
+    void serverGone(const ServerId &id);
+    void report(const HostId &from, const HostReport &report);
+    /// The connection to a host was lost.
+    void hostLost(const HostId &host);
+    /// Starts from what another leader knew; what it names must be heard again in time.
+    void adopt(const FleetView &view);
+    /// Drops what was not heard for too long. Call each 100 ms or so.
+    void tick();
+
+    [[nodiscard]] std::vector<FleetServer> servers() const;
+    [[nodiscard]] std::vector<FleetEntry> entries() const;
+    [[nodiscard]] std::vector<FleetStore> stores() const;
+    [[nodiscard]] const std::map<HostId, ReportedStore> &reportedStores() const;
+    /// Rises with each change of servers(), entries() or stores().
+    [[nodiscard]] std::uint64_t version() const;
+
+private:
+    struct Server {
+        FleetServer info;
+        MonotonicTime heardAt;
+    };
+    struct Entry {
+        FleetEntry info;
+        MonotonicTime heardAt;
+    };
+    struct Ended {
+        std::uint64_t bornMs = 0;
+        MonotonicTime at;
+    };
+
+    void endLife(const FleetServer &server);
+    /// False when another life has the address and is the later one.
+    bool takeAddress(const FleetServer &server);
+
+    FleetRegistryOptions options_;
+    Clock clock_;
+    std::map<ServerId, Server> servers_;
+    std::map<ServerId, Ended> ended_;
+    std::map<HostId, Entry> entries_;
+    std::map<HostId, ReportedStore> stores_;
+    std::uint64_t version_ = 1;
+};
+
+} // namespace persimmonlb
--- /dev/null
+++ b/persimmonlb/fleet/fleetregistry_test.cpp
@@ -0,0 +1,108 @@
+#include <boost/test/unit_test.hpp>
+
+#include "persimmonlb/fleet/fleetregistry.h"
+
+using namespace persimmonlb;
+
+namespace
+{
+
+FleetServer makeServer(const std::string &id, std::uint64_t born, std::uint64_t sequence)
+{
+    return FleetServer{.id = {id},
+                       .bornMs = born,
+                       .sequence = sequence,
+                       .service = {"lm"},
+                       .address = "10.0.0.1:80",
+                       .availabilityZone = {"a"},
+                       .slots = 8};
+}
+
+struct Bench {
+    Clock clock()
+    {
+        return Clock{.monotonic = [this] { return now; },
+                     .wall =
+                         [] {
+                             return WallTime();
+                         }};
+    }
+
+    MonotonicTime now;
+    FleetRegistry registry{FleetRegistryOptions{}, clock()};
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(FleetRegistryTest)
+
+BOOST_AUTO_TEST_CASE(LateAnnouncementOfOneLifeChangesNothing)
+{
+    Bench bench;
+    FleetServer draining = makeServer("s", 100, 5);
+    draining.draining = true;
+    BOOST_TEST(bench.registry.announce(draining));
+    BOOST_TEST(!bench.registry.announce(makeServer("s", 100, 4)));
+    BOOST_TEST(bench.registry.servers().at(0).draining);
+}
+
+BOOST_AUTO_TEST_CASE(LaterLifeUnderTheSameIdCountsAnew)
+{
+    Bench bench;
+    bench.registry.announce(makeServer("s", 100, 9));
+    BOOST_TEST(bench.registry.announce(makeServer("s", 200, 1)));
+    BOOST_TEST(!bench.registry.announce(makeServer("s", 100, 10)));
+    BOOST_TEST(bench.registry.servers().at(0).bornMs == 200U);
+}
+
+BOOST_AUTO_TEST_CASE(EndedLifeIsNotRevived)
+{
+    Bench bench;
+    bench.registry.announce(makeServer("s", 100, 1));
+    bench.registry.serverGone(ServerId{"s"});
+    BOOST_TEST(!bench.registry.announce(makeServer("s", 100, 2)));
+    BOOST_TEST(bench.registry.servers().empty());
+    BOOST_TEST(bench.registry.announce(makeServer("s", 101, 1)));
+}
+
+BOOST_AUTO_TEST_CASE(AddressBelongsToTheLatestLife)
+{
+    Bench bench;
+    bench.registry.announce(makeServer("old", 100, 1));
+    BOOST_TEST(bench.registry.announce(makeServer("new", 200, 1)));
+    BOOST_TEST(!bench.registry.announce(makeServer("old", 100, 2)));
+    BOOST_REQUIRE_EQUAL(bench.registry.servers().size(), 1U);
+    BOOST_TEST(bench.registry.servers().at(0).id.value == "new");
+}
+
+BOOST_AUTO_TEST_CASE(SilentServersAndEntryHostsAreDropped)
+{
+    Bench bench;
+    bench.registry.announce(makeServer("s", 100, 1));
+    HostReport report;
+    report.address = "10.0.0.9:80";
+    bench.registry.report(HostId{"e"}, report);
+    BOOST_TEST(bench.registry.entries().size() == 1U);
+    bench.now += Milliseconds(1600);
+    bench.registry.tick();
+    BOOST_TEST(bench.registry.entries().empty());
+    BOOST_TEST(bench.registry.servers().size() == 1U);
+    bench.now += Milliseconds(6000);
+    bench.registry.tick();
+    BOOST_TEST(bench.registry.servers().empty());
+}
+
+BOOST_AUTO_TEST_CASE(OnlyWhatOthersActOnRaisesTheVersion)
+{
+    Bench bench;
+    bench.registry.announce(makeServer("s", 100, 1));
+    const std::uint64_t version = bench.registry.version();
+    bench.registry.announce(makeServer("s", 100, 2));
+    BOOST_TEST(bench.registry.version() == version);
+    FleetServer draining = makeServer("s", 100, 3);
+    draining.draining = true;
+    bench.registry.announce(draining);
+    BOOST_TEST(bench.registry.version() > version);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/persimmonlb/fleet/fleetview.h
@@ -0,0 +1,192 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "persimmonlb/base/ids.h"
+
+/// What the leader of the storage hosts tells every other process of the fleet.
+namespace persimmonlb
+{
+
+/// One life of a backend server, as it announces itself.
+struct FleetServer {
+    ServerId id;
+    std::uint64_t bornMs = 0; ///< Wall time of its start; a later life has a higher one.
+    std::uint64_t sequence = 0; ///< Rises with each announcement of one life.
+    ServiceName service;
+    std::string address; ///< "ip:port".
+    AvailabilityZone availabilityZone;
+    std::uint32_t slots = 0; ///< Requests it runs at once.
+    bool draining = false; ///< Takes no new requests.
+
+    bool operator==(const FleetServer &) const = default;
+};
+
+/// An entry host that callers may connect to.
+struct FleetEntry {
+    HostId host;
+    std::string address; ///< "ip:port" for callers.
+    AvailabilityZone availabilityZone;
+    Region region;
+    bool draining = false;
+
+    bool operator==(const FleetEntry &) const = default;
+};
+
+/// A storage host.
+struct FleetStore {
+    HostId host;
+    std::string name; ///< As operators call it.
+    std::string meshAddress;
+    std::string controlAddress; ///< "ip:port" for operators and servers.
+
+    bool operator==(const FleetStore &) const = default;
+};
+
+/// The whole fleet as one leader sees it. A view with a higher (term, version) replaces another.
+struct FleetView {
+    std::uint64_t term = 0; ///< Of the leader.
+    std::uint64_t version = 0; ///< Rises with each change of one leader's view.
+    HostId leader;
+    std::uint64_t routesVersion = 0; ///< In force.
+    std::vector<FleetServer> servers;
+    std::vector<FleetEntry> entries;
+    std::vector<FleetStore> stores;
+
+    bool operator==(const FleetView &) const = default;
+};
+
+/// Sent by every process to every storage host that it is connected to, a few times a second.
+struct HostReport {
+    HostId member; ///< Id in the replicated group; empty on hosts without storage.
+    bool unused = false; ///< Its store was never part of a group.
+    std::string name;
+    std::string address; ///< For callers; empty on hosts that take none.
+    std::string meshAddress;
+    std::string controlAddress;
+    AvailabilityZone availabilityZone;
+    Region region;
+    bool draining = false;
+    std::uint64_t routesVersion = 0; ///< In force at the sender.
+    std::uint64_t viewTerm = 0;
+    std::uint64_t viewVersion = 0;
+
+    bool operator==(const HostReport &) const = default;
+};
+
+/// The leader's answer to each HostReport: it is alive and leads.
+struct LeaderBeat {
+    std::uint64_t term = 0;
+
+    bool operator==(const LeaderBeat &) const = default;
+};
+
+/// Routes in force, to a host that has older ones.
+struct RoutesPush {
+    std::uint64_t version = 0;
+    std::string text;
+
+    bool operator==(const RoutesPush &) const = default;
+};
+
+/// Passes a server's announcement on to the leader.
+struct ServerNotice {
+    std::uint64_t requestId = 0;
+    FleetServer server;
+    bool gone = false; ///< The server ends its registration.
+
+    bool operator==(const ServerNotice &) const = default;
+};
+
+/// The leader has taken a ServerNotice, and what it changed is on its way to every host.
+struct ServerNoticeReply {
+    std::uint64_t requestId = 0;
+    bool taken = false;
+
+    bool operator==(const ServerNoticeReply &) const = default;
+};
+
+/// Tells a storage host that the group goes on without it: its store is of no more use.
+struct MemberRemoved {
+    HostId member;
+
+    bool operator==(const MemberRemoved &) const = default;
+};
+
+// ---- slots ----------------------------------------------------------------------------------
+
+/// One part of a prompt; requests that share it share its place in a server's cache.
+struct PromptPart {
+    std::uint64_t key = 0; ///< Hash of the part's id and of all parts before it.
+    std::uint64_t tokens = 0;
+
+    bool operator==(const PromptPart &) const = default;
+};
+
+/// An entry host asks for a slot of a service.
+struct SlotRequest {
+    std::uint64_t ticket = 0; ///< Chosen by the entry host, unique in its life.
+    ServiceName service;
+    std::uint32_t priority = 0; ///< 0 is the highest.
+    std::uint64_t startWithinMs = 0; ///< To meet the objective.
+    std::uint64_t giveUpAfterMs = 0; ///< The caller is gone then.
+    bool cameBack = false; ///< The caller was refused before, or its server failed.
+    std::uint64_t tokens = 0; ///< Prompt and longest answer.
+    std::vector<PromptPart> prompt;
+    std::vector<ServerId> excluded;
+
+    bool operator==(const SlotRequest &) const = default;
+};
+
+/// Without a server: the request waits for a slot.
+struct SlotGrant {
+    std::uint64_t ticket = 0;
+    ServerId server;
+    std::string address;
+
+    bool operator==(const SlotGrant &) const = default;
+};
+
+/// No slot in time. Nothing of the request ran.
+struct SlotRefusal {
+    std::uint64_t ticket = 0;
+    std::uint64_t retryAfterMs = 0;
+
+    bool operator==(const SlotRefusal &) const = default;
+};
+
+enum class SlotOutcome : std::uint8_t {
+    Completed,
+    Abandoned, ///< The caller went away, or the wait was given up.
+    Refused, ///< The server said that it did not run the request.
+    Unreachable, ///< No connection.
+    Failed, ///< The server broke off, gave a wrong answer or none.
+};
+
+/// Gives a slot back, or withdraws a request that still waits.
+struct SlotEnd {
+    std::uint64_t ticket = 0;
+    SlotOutcome outcome = SlotOutcome::Completed;
+    std::uint64_t heldMs = 0; ///< From the grant to the end.
+
+    bool operator==(const SlotEnd &) const = default;
+};
+
+struct HeldSlot {
+    std::uint64_t ticket = 0;
+    ServerId server;
+    std::uint64_t tokens = 0;
+
+    bool operator==(const HeldSlot &) const = default;
+};
+
+/// Every slot that an entry host holds, told to a new leader.
+struct SlotsHeld {
+    std::vector<HeldSlot> slots;
+
+    bool operator==(const SlotsHeld &) const = default;
+};
+
+} // namespace persimmonlb
--- /dev/null
+++ b/persimmonlb/slots/slotbroker.cpp
@@ -0,0 +1,465 @@
+#include "persimmonlb/slots/slotbroker.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+#include "persimmonlb/base/logline.h"
+
+namespace persimmonlb
+{
+
+namespace
+{
+
+constexpr double holdSmoothing = 0.1; ///< Weight of the newest observation.
+/// Costs are in milliseconds of an answer's time, from the sites' engine figures.
+constexpr double fullServerCost = 10.0; ///< A full engine against an idle one.
+constexpr double warmTokensPerMs = 100.0; ///< Prompt tokens that an engine reads in a millisecond.
+constexpr double slowServerRatio = 1.3; ///< Of the service's hold; below it a server is not slow.
+constexpr double slowServerCost = 20.0; ///< For each whole multiple above the ratio.
+constexpr std::size_t warmPartsKept = 1024; ///< Of one server, in each of two generations.
+constexpr Milliseconds unknownWait{500}; ///< Told while no server takes requests.
+constexpr std::uint64_t retrySpread = 4; ///< Returns are spread over a quarter of the wait.
+constexpr Milliseconds leastRetryAfter{50};
+
+} // namespace
+
+SlotBroker::SlotBroker(SlotBrokerOptions options, Clock clock, RandomSource random,
+                       SlotBrokerHooks hooks)
+    : options_(options)
+    , clock_(std::move(clock))
+    , random_(std::move(random))
+    , hooks_(std::move(hooks))
+{
+}
+
+void SlotBroker::setServers(const std::vector<FleetServer> &servers,
+                            const std::function<SlotCapacity(const ServiceName &)> &capacityOf)
+{
+    std::map<ServerId, Server> next;
+    for (const FleetServer &info : servers) {
+        const auto known = servers_.find(info.id);
+        const bool sameLife = known != servers_.end() && known->second.info.bornMs == info.bornMs
+            && known->second.info.address == info.address;
+        Server server = sameLife ? std::move(known->second) : Server();
+        server.info = info;
+        server.capacity = capacityOf(info.service);
+        next.emplace(info.id, std::move(server));
+    }
+    servers_ = std::move(next);
+    std::erase_if(held_,
+                  [this](const auto &entry) { return !servers_.contains(entry.second.server); });
+    for (const auto &[name, service] : services_) {
+        serveQueue(name);
+    }
+}
+
+void SlotBroker::reset()
+{
+    for (auto &[id, server] : servers_) {
+        server.online = 0;
+        server.batch = 0;
+        server.tokens = 0;
+    }
+    held_.clear();
+    services_.clear();
+    queued_ = 0;
+}
+
+std::uint32_t SlotBroker::slotsOf(const Server &server) const
+{
+    if (server.onTrial) {
+        return 1;
+    }
+    const std::uint32_t announced = server.info.slots;
+    const std::uint32_t configured = server.capacity.slots;
+    if (announced == 0 || configured == 0) {
+        return std::max(announced, configured);
+    }
+    return std::min(announced, configured);
+}
+
+bool SlotBroker::takes(const Server &server, std::uint64_t tokens) const
+{
+    if (server.info.draining || clock_.monotonic() < server.restsUntil) {
+        return false;
+    }
+    if (server.online + server.batch >= slotsOf(server)) {
+        return false;
+    }
+    const std::uint64_t room = server.capacity.cacheTokens;
+    return room == 0 || server.tokens == 0 || server.tokens + tokens <= room;
+}
+
+double SlotBroker::costOf(const Server &server, const SlotRequest &request) const
+{
+    std::uint64_t warm = 0;
+    for (const PromptPart &part : request.prompt) {
+        if (!server.warm.contains(part.key) && !server.warmBefore.contains(part.key)) {
+            break;
+        }
+        warm += part.tokens;
+    }
+    const double slots = std::max(1U, slotsOf(server));
+    double cost = fullServerCost * (server.online + server.batch) / slots
+        - static_cast<double>(warm) / warmTokensPerMs;
+    const auto service = services_.find(server.info.service);
+    const double usual = service == services_.end() ? 0 : service->second.holdMs;
+    if (usual > 0 && server.holdMs > usual * slowServerRatio) {
+        cost += slowServerCost * (server.holdMs / usual - slowServerRatio);
+    }
+    return cost;
+}
+
+SlotBroker::Server *SlotBroker::bestFor(const SlotRequest &request)
+{
+    Server *best = nullptr;
+    double lowest = 0;
+    for (auto &[id, server] : servers_) {
+        if (server.info.service != request.service || !takes(server, request.tokens)
+            || std::ranges::find(request.excluded, id) != request.excluded.end()) {
+            continue;
+        }
+        const double cost = costOf(server, request);
+        if (best == nullptr || cost < lowest) {
+            best = &server;
+            lowest = cost;
+        }
+    }
+    return best;
+}
+
+Milliseconds SlotBroker::expectedWait(const ServiceName &service, std::size_t ahead) const
+{
+    std::uint32_t slots = 0;
+    for (const auto &[id, server] : servers_) {
+        const bool resting = clock_.monotonic() < server.restsUntil;
+        if (server.info.service == service && !server.info.draining && !resting) {
+            slots += slotsOf(server);
+        }
+    }
+    if (slots == 0) {
+        return Milliseconds::max();
+    }
+    const auto known = services_.find(service);
+    const double hold = known != services_.end() && known->second.holdMs > 0
+        ? known->second.holdMs
+        : static_cast<double>(options_.initialHold.count());
+    return Milliseconds(static_cast<std::int64_t>(hold * static_cast<double>(ahead + 1) / slots));
+}
+
+std::size_t SlotBroker::queuedAhead(const Service &service, const SlotRequest &request) const
+{
+    const MonotonicTime startBy
+        = clock_.monotonic() + Milliseconds(static_cast<std::int64_t>(request.startWithinMs));
+    std::size_t ahead = 0;
+    for (const Waiting &waiting : service.queue) {
+        const bool before = waiting.request.priority < request.priority
+            || (waiting.request.priority == request.priority && waiting.startBy <= startBy);
+        ahead += before ? 1 : 0;
+    }
+    return ahead;
+}
+
+void SlotBroker::request(const HostId &from, const SlotRequest &request)
+{
+    Service &service = services_[request.service];
+    const std::size_t ahead = queuedAhead(service, request);
+    if (ahead == 0 && tryGrant(from, request)) {
+        return;
+    }
+    const Milliseconds wait = expectedWait(request.service, ahead);
+    Milliseconds patience(static_cast<std::int64_t>(request.startWithinMs));
+    if (request.cameBack) {
+        patience += options_.returnedGrace;
+    }
+    patience = std::min(patience, Milliseconds(static_cast<std::int64_t>(request.giveUpAfterMs)));
+    if (wait > patience || queued_ >= options_.maxQueued) {
+        refuse(from, request, wait);
+        return;
+    }
+    enqueue(from, request);
+    hooks_.grant(from, SlotGrant{.ticket = request.ticket, .server = {}, .address = {}});
+}
+
+bool SlotBroker::tryGrant(const HostId &host, const SlotRequest &request)
+{
+    Server *server = bestFor(request);
+    if (server == nullptr && hooks_.yieldBatch) {
+        if (const auto freed = hooks_.yieldBatch(request.service)) {
+            releaseBatch(*freed);
+            server = bestFor(request);
+        }
+    }
+    if (server == nullptr) {
+        return false;
+    }
+    grant(host, request, *server);
+    return true;
+}
+
+void SlotBroker::grant(const HostId &host, const SlotRequest &request, Server &server)
+{
+    ++server.online;
+    server.tokens += request.tokens;
+    warmUp(server, request);
+    held_[Ticket{host, request.ticket}] = Held{server.info.id, request.tokens};
+    hooks_.grant(host, SlotGrant{request.ticket, server.info.id, server.info.address});
+}
+
+void SlotBroker::warmUp(Server &server, const SlotRequest &request)
+{
+    for (const PromptPart &part : request.prompt) {
+        server.warm.insert(part.key);
+    }
+    if (server.warm.size() > warmPartsKept) {
+        server.warmBefore = std::move(server.warm);
+        server.warm.clear();
+    }
+}
+
+void SlotBroker::refuse(const HostId &host, const SlotRequest &request, Milliseconds wait)
+{
+    const auto told = std::max(wait == Milliseconds::max() ? unknownWait : wait, leastRetryAfter);
+    const auto base = static_cast<std::uint64_t>(told.count());
+    hooks_.refuse(host, SlotRefusal{request.ticket, base + random_() % (base / retrySpread + 1)});
+}
+
+void SlotBroker::enqueue(const HostId &host, const SlotRequest &request)
+{
+    const MonotonicTime now = clock_.monotonic();
+    Waiting waiting{.host = host,
+                    .request = request,
+                    .startBy = now + Milliseconds(static_cast<std::int64_t>(request.startWithinMs)),
+                    .giveUpAt
+                    = now + Milliseconds(static_cast<std::int64_t>(request.giveUpAfterMs))};
+    std::list<Waiting> &queue = services_[request.service].queue;
+    const auto after = std::ranges::find_if(queue, [&](const Waiting &other) {
+        return std::pair(other.request.priority, other.startBy)
+            > std::pair(waiting.request.priority, waiting.startBy);
+    });
+    queue.insert(after, std::move(waiting));
+    ++queued_;
+}
+
+void SlotBroker::serveQueue(const ServiceName &name)
+{
+    Service &service = services_[name];
+    for (auto position = service.queue.begin(); position != service.queue.end();) {
+        if (!tryGrant(position->host, position->request)) {
+            // One that excludes servers may wait for others than those behind it.
+            if (position->request.excluded.empty()) {
+                break;
+            }
+            ++position;
+            continue;
+        }
+        position = service.queue.erase(position);
+        --queued_;
+    }
+    if (service.queue.empty() && hooks_.batchMayStart) {
+        hooks_.batchMayStart(name);
+    }
+}
+
+void SlotBroker::end(const HostId &from, const SlotEnd &end)
+{
+    const auto found = held_.find(Ticket{from, end.ticket});
+    if (found == held_.end()) {
+        for (auto &[name, service] : services_) {
+            queued_ -= std::erase_if(service.queue, [&](const Waiting &waiting) {
+                return waiting.host == from && waiting.request.ticket == end.ticket;
+            });
+        }
+        return;
+    }
+    const Held held = found->second;
+    held_.erase(found);
+    const auto server = servers_.find(held.server);
+    if (server == servers_.end()) {
+        return;
+    }
+    if (end.outcome == SlotOutcome::Completed) {
+        noteHold(server->second, static_cast<double>(end.heldMs));
+    }
+    noteOutcome(server->second, end.outcome);
+    release(held);
+    serveQueue(server->second.info.service);
+}
+
+void SlotBroker::release(const Held &held)
+{
+    const auto found = servers_.find(held.server);
+    if (found == servers_.end()) {
+        return;
+    }
+    Server &server = found->second;
+    server.online -= std::min(server.online, 1U);
+    server.tokens -= std::min(server.tokens, held.tokens);
+}
+
+void SlotBroker::noteHold(Server &server, double heldMs)
+{
+    const auto smooth = [heldMs](double &average) {
+        average = average == 0 ? heldMs : average + holdSmoothing * (heldMs - average);
+    };
+    smooth(server.holdMs);
+    smooth(services_[server.info.service].holdMs);
+}
+
+void SlotBroker::noteOutcome(Server &server, SlotOutcome outcome)
+{
+    const MonotonicTime now = clock_.monotonic();
+    switch (outcome) {
+    case SlotOutcome::Completed:
+        server.failures = 0;
+        server.onTrial = false;
+        return;
+    case SlotOutcome::Abandoned:
+        return;
+    case SlotOutcome::Refused:
+        server.restsUntil = std::max(server.restsUntil, now + options_.refusalRest);
+        return;
+    case SlotOutcome::Unreachable:
+    case SlotOutcome::Failed:
+        break;
+    }
+    ++server.failures;
+    if (outcome == SlotOutcome::Failed && server.failures < options_.failuresUntilRest) {
+        return;
+    }
+    const auto doublings = std::min(server.failures - 1, 4U);
+    const Milliseconds rest
+        = std::min(options_.firstRest * (1U << doublings), options_.longestRest);
+    server.onTrial = true;
+    if (server.restsUntil < now + rest) {
+        server.restsUntil = now + rest;
+        LogLine(LogLevel::Warning, "server_rests")
+            .add("server", server.info.id.value)
+            .add("service", server.info.service.value)
+            .add("failures", static_cast<std::int64_t>(server.failures))
+            .add("rest_ms", rest.count())
+            .write();
+    }
+}
+
+void SlotBroker::held(const HostId &from, const SlotsHeld &held)
+{
+    hostLost(from);
+    for (const HeldSlot &slot : held.slots) {
+        const auto server = servers_.find(slot.server);
+        if (server == servers_.end()) {
+            continue;
+        }
+        ++server->second.online;
+        server->second.tokens += slot.tokens;
+        held_[Ticket{from, slot.ticket}] = Held{slot.server, slot.tokens};
+    }
+}
+
+void SlotBroker::hostLost(const HostId &host)
+{
+    for (auto position = held_.begin(); position != held_.end();) {
+        if (position->first.host != host) {
+            ++position;
+            continue;
+        }
+        release(position->second);
+        position = held_.erase(position);
+    }
+    for (auto &[name, service] : services_) {
+        queued_ -= std::erase_if(service.queue,
+                                 [&](const Waiting &waiting) { return waiting.host == host; });
+    }
+}
+
+void SlotBroker::tick()
+{
+    const MonotonicTime now = clock_.monotonic();
+    for (auto &[name, service] : services_) {
+        for (auto position = service.queue.begin(); position != service.queue.end();) {
+            if (now < position->giveUpAt) {
+                ++position;
+                continue;
+            }
+            refuse(position->host, position->request, expectedWait(name, service.queue.size()));
+            position = service.queue.erase(position);
+            --queued_;
+        }
+        serveQueue(name);
+    }
+}
+
+std::optional<ServerId> SlotBroker::takeForBatch(const ServiceName &service, std::uint64_t tokens,
+                                                 bool urgent)
+{
+    if (waiting(service) > 0) {
+        return std::nullopt;
+    }
+    std::uint32_t slots = 0;
+    for (const auto &[id, server] : servers_) {
+        slots += server.info.service == service ? slotsOf(server) : 0;
+    }
+    const auto reserve = static_cast<std::uint32_t>(std::ceil(options_.batchReserve * slots));
+    if (!urgent && freeSlots(service) <= reserve) {
+        return std::nullopt;
+    }
+    SlotRequest request;
+    request.service = service;
+    request.tokens = tokens;
+    Server *server = bestFor(request);
+    if (server == nullptr) {
+        return std::nullopt;
+    }
+    ++server->batch;
+    server->tokens += tokens;
+    return server->info.id;
+}
+
+void SlotBroker::releaseBatch(const BatchRunSlot &run)
+{
+    const auto found = servers_.find(run.server);
+    if (found == servers_.end()) {
+        return;
+    }
+    found->second.batch -= std::min(found->second.batch, 1U);
+    found->second.tokens -= std::min(found->second.tokens, run.tokens);
+}
+
+void SlotBroker::batchEnded(const BatchRunSlot &run, SlotOutcome outcome)
+{
+    const auto found = servers_.find(run.server);
+    if (found == servers_.end()) {
+        return;
+    }
+    releaseBatch(run);
+    noteOutcome(found->second, outcome);
+    serveQueue(found->second.info.service);
+}
+
+std::string SlotBroker::addressOf(const ServerId &server) const
+{
+    const auto found = servers_.find(server);
+    return found == servers_.end() ? std::string() : found->second.info.address;
+}
+
+std::size_t SlotBroker::waiting(const ServiceName &service) const
+{
+    const auto found = services_.find(service);
+    return found == services_.end() ? 0 : found->second.queue.size();
+}
+
+std::uint32_t SlotBroker::freeSlots(const ServiceName &service) const
+{
+    std::uint32_t free = 0;
+    for (const auto &[id, server] : servers_) {
+        if (server.info.service != service || !takes(server, 0)) {
+            continue;
+        }
+        free += slotsOf(server) - server.online - server.batch;
+    }
+    return free;
+}
+
+} // namespace persimmonlb
--- /dev/null
+++ b/persimmonlb/slots/slotbroker_test.cpp
@@ -0,0 +1,227 @@
+#include <boost/test/unit_test.hpp>
+
+#include "persimmonlb/slots/slotbroker.h"
+
+using namespace persimmonlb;
+
+namespace
+{
+
+const ServiceName service{"lm"};
+const HostId entry{"e"};
+
+/// A broker over servers of two slots each, with batch runs that it may end.
+struct Bench {
+    explicit Bench(int servers)
+    {
+        std::vector<FleetServer> list;
+        for (int i = 0; i < servers; ++i) {
+            const std::string id = "s" + std::to_string(i);
+            FleetServer server;
+            server.id = ServerId{id};
+            server.bornMs = 1;
+            server.service = service;
+            server.address = id + ":80";
+            server.slots = 2;
+            list.push_back(server);
+        }
+        broker.setServers(list, [](const ServiceName &) { return SlotCapacity{2, 10000}; });
+    }
+
+    SlotRequest ask(std::uint64_t ticket, std::uint64_t startWithin = 300)
+    {
+        SlotRequest request;
+        request.ticket = ticket;
+        request.service = service;
+        request.startWithinMs = startWithin;
+        request.giveUpAfterMs = 5000;
+        request.tokens = 100;
+        return request;
+    }
+    void pass(int ms)
+    {
+        now += Milliseconds(ms);
+        broker.tick();
+    }
+
+    MonotonicTime now;
+    std::vector<SlotGrant> grants;
+    std::vector<SlotRefusal> refusals;
+    std::vector<BatchRunSlot> batchRuns;
+    int batchOffers = 0;
+    SlotBroker broker{
+        SlotBrokerOptions{},
+        Clock{.monotonic = [this] { return now; },
+              .wall =
+                  [] {
+                      return WallTime();
+                  }},
+        seededRandom(1),
+        SlotBrokerHooks{
+            .grant =
+                [this](const HostId &, const SlotGrant &grant) {
+                    if (!grant.server.empty()) {
+                        grants.push_back(grant);
+                    }
+                },
+            .refuse
+            = [this](const HostId &, const SlotRefusal &refusal) { refusals.push_back(refusal); },
+            .yieldBatch = [this](const ServiceName &) -> std::optional<BatchRunSlot> {
+                if (batchRuns.empty()) {
+                    return std::nullopt;
+                }
+                const BatchRunSlot run = batchRuns.back();
+                batchRuns.pop_back();
+                return run;
+            },
+            .batchMayStart =
+                [this](const ServiceName &) {
+                    ++batchOffers;
+                }}};
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(SlotBrokerTest)
+
+BOOST_AUTO_TEST_CASE(RequestsSpreadOverServersAndNeverExceedTheirSlots)
+{
+    Bench bench(2);
+    for (std::uint64_t ticket = 1; ticket <= 5; ++ticket) {
+        bench.broker.request(entry, bench.ask(ticket, 2000));
+    }
+    BOOST_REQUIRE_EQUAL(bench.grants.size(), 4U);
+    BOOST_TEST((bench.grants[0].server != bench.grants[1].server));
+    BOOST_TEST(bench.broker.waiting(service) == 1U);
+    bench.broker.end(entry, SlotEnd{.ticket = 1, .heldMs = 900});
+    BOOST_TEST(bench.grants.size() == 5U);
+    BOOST_TEST((bench.grants[4].server == bench.grants[0].server));
+}
+
+BOOST_AUTO_TEST_CASE(ABurstIsRefusedAtOnceBeyondWhatCanStartInTime)
+{
+    // Four slots held 900 ms each free one every 225 ms: one request can wait 300 ms, not two.
+    Bench bench(2);
+    for (std::uint64_t ticket = 1; ticket <= 8; ++ticket) {
+        bench.broker.request(entry, bench.ask(ticket));
+    }
+    BOOST_TEST(bench.grants.size() == 4U);
+    BOOST_TEST(bench.broker.waiting(service) == 1U);
+    BOOST_REQUIRE_EQUAL(bench.refusals.size(), 3U);
+    for (const SlotRefusal &refusal : bench.refusals) {
+        BOOST_TEST(refusal.retryAfterMs >= 450U);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(ARequestThatCameBackWaitsLongerThanItsObjective)
+{
+    Bench bench(2);
+    for (std::uint64_t ticket = 1; ticket <= 5; ++ticket) {
+        bench.broker.request(entry, bench.ask(ticket));
+    }
+    SlotRequest back = bench.ask(6);
+    back.cameBack = true;
+    bench.broker.request(entry, back);
+    BOOST_TEST(bench.refusals.empty());
+    BOOST_TEST(bench.broker.waiting(service) == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(HigherPriorityIsServedFirst)
+{
+    Bench bench(1);
+    bench.broker.request(entry, bench.ask(1));
+    bench.broker.request(entry, bench.ask(2));
+    SlotRequest low = bench.ask(3, 3000);
+    low.priority = 1;
+    bench.broker.request(entry, low);
+    bench.broker.request(entry, bench.ask(4, 3000));
+    bench.broker.end(entry, SlotEnd{.ticket = 1, .heldMs = 900});
+    BOOST_REQUIRE_EQUAL(bench.grants.size(), 3U);
+    BOOST_TEST(bench.grants[2].ticket == 4U);
+}
+
+BOOST_AUTO_TEST_CASE(OnlineTakesASlotFromBatchAtOnce)
+{
+    Bench bench(1);
+    for (int i = 0; i < 2; ++i) {
+        const auto server = bench.broker.takeForBatch(service, 100, true);
+        BOOST_REQUIRE(server.has_value());
+        bench.batchRuns.push_back({*server, 100});
+    }
+    BOOST_TEST(!bench.broker.takeForBatch(service, 100, true).has_value());
+    bench.broker.request(entry, bench.ask(1));
+    BOOST_TEST(bench.grants.size() == 1U);
+    BOOST_TEST(bench.batchRuns.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(BatchLeavesAReserveUnlessItIsUrgent)
+{
+    Bench bench(1);
+    BOOST_TEST(bench.broker.takeForBatch(service, 100, false).has_value());
+    BOOST_TEST(!bench.broker.takeForBatch(service, 100, false).has_value());
+    BOOST_TEST(bench.broker.takeForBatch(service, 100, true).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(AServerThatCannotBeReachedRestsAndReturnsOnTrial)
+{
+    Bench bench(2);
+    bench.broker.request(entry, bench.ask(1));
+    const ServerId lost = bench.grants[0].server;
+    bench.broker.end(entry, SlotEnd{.ticket = 1, .outcome = SlotOutcome::Unreachable});
+    for (std::uint64_t ticket = 2; ticket <= 3; ++ticket) {
+        bench.broker.request(entry, bench.ask(ticket));
+        BOOST_TEST((bench.grants.back().server != lost));
+    }
+    bench.pass(500);
+    bench.broker.request(entry, bench.ask(4));
+    BOOST_TEST((bench.grants.back().server == lost));
+    // One request until it has shown that it works again.
+    bench.broker.request(entry, bench.ask(5, 3000));
+    BOOST_TEST(bench.grants.size() == 4U);
+    bench.broker.end(entry, SlotEnd{.ticket = 4, .heldMs = 900});
+    BOOST_TEST(bench.grants.size() == 5U);
+}
+
+BOOST_AUTO_TEST_CASE(SharedPromptPartsAttractRequests)
+{
+    Bench bench(3);
+    SlotRequest first = bench.ask(1);
+    first.prompt = {{77, 2000}};
+    bench.broker.request(entry, first);
+    const ServerId warm = bench.grants[0].server;
+    bench.broker.end(entry, SlotEnd{.ticket = 1, .heldMs = 900});
+    SlotRequest other = bench.ask(2);
+    bench.broker.request(entry, other);
+    SlotRequest second = bench.ask(3);
+    second.prompt = {{77, 2000}};
+    bench.broker.request(entry, second);
+    BOOST_TEST((bench.grants[2].server == warm));
+}
+
+BOOST_AUTO_TEST_CASE(SlotsOfALostEntryHostAreFree)
+{
+    Bench bench(1);
+    bench.broker.request(entry, bench.ask(1));
+    bench.broker.request(entry, bench.ask(2));
+    BOOST_TEST(bench.broker.freeSlots(service) == 0U);
+    bench.broker.hostLost(entry);
+    BOOST_TEST(bench.broker.freeSlots(service) == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(ANewBrokerLearnsWhatIsHeld)
+{
+    Bench bench(1);
+    bench.broker.held(entry, SlotsHeld{{{9, ServerId{"s0"}, 100}}});
+    BOOST_TEST(bench.broker.freeSlots(service) == 1U);
+    bench.broker.end(entry, SlotEnd{.ticket = 9, .heldMs = 900});
+    BOOST_TEST(bench.broker.freeSlots(service) == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(WithoutServersRequestsAreRefusedAtOnce)
+{
+    Bench bench(0);
+    bench.broker.request(entry, bench.ask(1));
+    BOOST_TEST(bench.refusals.size() == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/persimmonlb/state/command.cpp
+++ b/persimmonlb/state/command.cpp
@@ -2,6 +2,7 @@
 
 #include "persimmonlb/state/cborvariant.h"
 #include "persimmonlb/state/commandfields.h"
+#include "persimmonlb/state/fleetfields.h"
 
 namespace persimmonlb
 {
--- a/persimmonlb/state/command.h
+++ b/persimmonlb/state/command.h
@@ -11,6 +11,7 @@
 #include "persimmonlb/base/clock.h"
 #include "persimmonlb/base/error.h"
 #include "persimmonlb/base/ids.h"
+#include "persimmonlb/state/fleetcommand.h"
 
 /// Typed commands of the replicated log and their replies. Each is an immutable value with
 /// comparison; the codec (CBOR) is in command.cpp. Every command is idempotent by its own
@@ -338,10 +339,10 @@
     bool operator==(const PlainReply &) const = default;
 };
 
-using Command
-    = std::variant<ApplySheet, OpenJob, AddItems, SealJob, CancelJob, LeaseItems, CompleteItems,
-                   ReleaseOwner, ClaimRequest, RecordOutcome, RegisterHost, DrainHost,
-                   ReportSuspects, ReleaseQuarantine, ReserveFencing, AppendAudit>;
+using Command = std::variant<ApplySheet, OpenJob, AddItems, SealJob, CancelJob, LeaseItems,
+                             CompleteItems, ReleaseOwner, ClaimRequest, RecordOutcome, RegisterHost,
+                             DrainHost, ReportSuspects, ReleaseQuarantine, ReserveFencing,
+                             AppendAudit, PutRoutes, AcceptBulk, RecordBulk, EndBulk, RetireStore>;
 
 using Reply = std::variant<PlainReply, SheetReply, JobReply, LeaseReply, CompleteReply, ClaimReply,
                            FencingReply>;
--- a/persimmonlb/state/command_test.cpp
+++ b/persimmonlb/state/command_test.cpp
@@ -86,6 +86,27 @@
                                  .code = 201,
                                  .count = 12,
                                  .detail = "quota"}}},
+        PutRoutes{.version = 7, .text = "{}", .at = noon},
+        AcceptBulk{.id = {"b1"},
+                   .route = "r",
+                   .host = "a.example",
+                   .items = {{.id = "i1",
+                              .path = "/a/1",
+                              .headers = {{"Model", "m"}},
+                              .body = std::string("\0\xff", 2),
+                              .tokens = 9}},
+                   .maxWaitingTokens = 10,
+                   .maxAttempts = 3,
+                   .dueAfter = Milliseconds(18000),
+                   .abandonAfter = Milliseconds(30000),
+                   .keepFor = Milliseconds(120000),
+                   .at = noon},
+        RecordBulk{.id = {"b1"},
+                   .outcomes
+                   = {{.index = 1, .phase = BulkItemPhase::DeadLettered, .output = "a\nb"}},
+                   .at = noon},
+        EndBulk{.id = {"b1"}, .at = noon},
+        RetireStore{.name = "store-1", .at = noon},
     };
 }
 
@@ -136,6 +157,20 @@
     BOOST_TEST((decodeAnswer(encodeAnswer(answer)).value() == answer));
     const Query query = AuditQuery{.since = noon, .kind = "job", .afterSequence = 3, .limit = 5};
     BOOST_TEST((decodeQuery(encodeQuery(query)).value() == query));
+    for (const Query &asked :
+         {Query(RoutesQuery{}), Query(BulkPageQuery{.id = {"b1"}, .after = 2, .maxBytes = 3}),
+          Query(BulkBodyQuery{.id = {"b1"}, .item = "i1"}), Query(RetiredStoresQuery{})}) {
+        BOOST_TEST((decodeQuery(encodeQuery(asked)).value() == asked));
+    }
+    for (const Answer &given :
+         {Answer(RoutesAnswer{.version = 3, .text = "{}"}),
+          Answer(BulkPage{.found = true,
+          .total = 2,
+          .results = {{.id = "i1", .phase = BulkItemPhase::Completed, .output = "a"}}}),
+          Answer(BulkBody{.found = true, .body = std::string("\0", 1)}),
+          Answer(RetiredStores{{"store-1"}})}) {
+        BOOST_TEST((decodeAnswer(encodeAnswer(given)).value() == given));
+    }
 }
 
 BOOST_AUTO_TEST_CASE(aNumberOutOfRangeIsRefused)
--- a/persimmonlb/state/keys.cpp
+++ b/persimmonlb/state/keys.cpp
@@ -159,6 +159,26 @@
     return prefixed(auditBatchPrefix, host.value);
 }
 
+std::string bulkJob(const JobId &id)
+{
+    return prefixed(bulkJobPrefix, id.value);
+}
+
+std::string bulkItem(const JobId &id, std::uint32_t index)
+{
+    return prefixed("bulkitem/", text(id.value)) + bigEndian(index);
+}
+
+std::string bulkResult(const JobId &id, std::uint32_t position)
+{
+    return prefixed("bulkresult/", text(id.value)) + bigEndian(position);
+}
+
+std::string retired(const std::string &storeName)
+{
+    return prefixed(retiredPrefix, storeName);
+}
+
 std::string counter(std::string_view name)
 {
     return prefixed("next/", name);
--- a/persimmonlb/state/keys.h
+++ b/persimmonlb/state/keys.h
@@ -30,6 +30,11 @@
 ///   conviction/FINGERPRINT        quarantined requests
 ///   audit/SEQUENCE                audit record
 ///   auditbatch/HOST               audit batches taken from a host
+///   routes                        routes in force: version and text
+///   bulk/ID                       bulk job: its items' phases and what it was accepted with
+///   bulkitem/ID INDEX             item of a bulk job as submitted
+///   bulkresult/ID POSITION        result of a bulk job
+///   retired/NAME                  storage host that was asked to leave
 ///   next/NAME                     counters: "job", "fencing", "audit", "entrystate"
 namespace persimmonlb::keys
 {
@@ -62,6 +67,10 @@
 std::string audit(std::uint64_t sequence);
 std::string auditBatch(const HostId &host);
 std::string counter(std::string_view name);
+std::string bulkJob(const JobId &id);
+std::string bulkItem(const JobId &id, std::uint32_t index);
+std::string bulkResult(const JobId &id, std::uint32_t position);
+std::string retired(const std::string &storeName);
 
 inline constexpr std::string_view sheetPrefix = "sheet/";
 inline constexpr std::string_view jobPrefix = "job/";
@@ -80,6 +89,9 @@
 inline constexpr std::string_view convictionPrefix = "conviction/";
 inline constexpr std::string_view auditPrefix = "audit/";
 inline constexpr std::string_view auditBatchPrefix = "auditbatch/";
+inline constexpr std::string_view routes = "routes";
+inline constexpr std::string_view bulkJobPrefix = "bulk/";
+inline constexpr std::string_view retiredPrefix = "retired/";
 
 /// Prefixes of one job's keys.
 std::string bodiesOf(std::uint64_t job);
--- a/persimmonlb/state/query.h
+++ b/persimmonlb/state/query.h
@@ -139,10 +139,12 @@
     bool operator==(const EntryStateAnswer &) const = default;
 };
 
-using Query = std::variant<SheetQuery, JobQuery, JobListQuery, ResultsQuery, ClaimQuery, AuditQuery,
-                           EntryStateQuery>;
-using Answer = std::variant<PlainReply, SheetAnswer, JobListAnswer, ResultsAnswer, ClaimReply,
-                            AuditAnswer, EntryStateAnswer>;
+using Query
+    = std::variant<SheetQuery, JobQuery, JobListQuery, ResultsQuery, ClaimQuery, AuditQuery,
+                   EntryStateQuery, RoutesQuery, BulkPageQuery, BulkBodyQuery, RetiredStoresQuery>;
+using Answer
+    = std::variant<PlainReply, SheetAnswer, JobListAnswer, ResultsAnswer, ClaimReply, AuditAnswer,
+                   EntryStateAnswer, RoutesAnswer, BulkPage, BulkBody, RetiredStores>;
 
 std::string encodeQuery(const Query &query);
 /// Errors: MalformedRequest.
--- a/persimmonlb/state/replicatedstate.cpp
+++ b/persimmonlb/state/replicatedstate.cpp
@@ -3,6 +3,7 @@
 #include <type_traits>
 #include <variant>
 
+#include "persimmonlb/base/digest.h"
 #include "persimmonlb/state/keys.h"
 
 namespace persimmonlb
@@ -50,6 +51,7 @@
     , quarantine_(store)
     , audit_(store)
     , fencing_(store)
+    , bulk_(store)
 {
 }
 
@@ -90,6 +92,13 @@
     BOOST_LEAF_CHECK(quarantine_.reload());
     BOOST_LEAF_CHECK(audit_.reload());
     BOOST_LEAF_CHECK(fencing_.reload());
+    BOOST_LEAF_CHECK(bulk_.reload());
+    BOOST_LEAF_CHECK(reloadRoutes());
+    retired_.clear();
+    store_.scan(keys::retiredPrefix, [this](std::string_view key, std::string_view) {
+        retired_.emplace(key.substr(keys::retiredPrefix.size()));
+        return true;
+    });
     const auto version = store_.get(keys::counter(entryStateCounter));
     entryStateVersion_ = version ? keys::parseNumber(*version).value_or(0) : 0;
     return {};
@@ -98,6 +107,7 @@
 void ReplicatedState::expire(WallTime at, MutationList &changes)
 {
     claims_.expire(at, changes);
+    bulk_.expire(at, changes);
     const bool jobsChanged = jobs_.expire(at, changes);
     const bool quarantineChanged = quarantine_.expire(at, changes);
     if (jobsChanged || quarantineChanged) {
@@ -296,6 +306,60 @@
     return audit_.appendBatch(command, changes);
 }
 
+Reply ReplicatedState::applyOne(const PutRoutes &command, MutationList &changes)
+{
+    if (command.version <= routes_.version) {
+        return PlainReply{.code = ResultCode::Ok, .message = "a newer version is in force"};
+    }
+    routes_ = RoutesAnswer{.version = command.version, .text = command.text};
+    changes.push_back({std::string(keys::routes), encodeAnswer(routes_)});
+    audit_.append(auditRecord(command.at, "routes", "operator", std::to_string(command.version),
+                              ResultCode::Ok, sha256Hex(command.text)),
+                  changes);
+    return PlainReply{};
+}
+
+Reply ReplicatedState::applyOne(const AcceptBulk &command, MutationList &changes)
+{
+    return bulk_.accept(command, changes);
+}
+
+Reply ReplicatedState::applyOne(const RecordBulk &command, MutationList &changes)
+{
+    return bulk_.record(command, changes);
+}
+
+Reply ReplicatedState::applyOne(const EndBulk &command, MutationList &changes)
+{
+    return bulk_.end(command, changes);
+}
+
+Reply ReplicatedState::applyOne(const RetireStore &command, MutationList &changes)
+{
+    if (retired_.insert(command.name).second) {
+        changes.push_back({keys::retired(command.name), ""});
+        audit_.append(
+            auditRecord(command.at, "member", "operator", command.name, ResultCode::Ok, "retire"),
+            changes);
+    }
+    return PlainReply{};
+}
+
+Result<void> ReplicatedState::reloadRoutes()
+{
+    routes_ = {};
+    const auto stored = store_.get(keys::routes);
+    if (!stored) {
+        return {};
+    }
+    const auto decoded = decodeAnswer(*stored);
+    if (!decoded.ok() || !std::holds_alternative<RoutesAnswer>(decoded.value())) {
+        return fail(ResultCode::CorruptStore, "key " + std::string(keys::routes));
+    }
+    routes_ = std::get<RoutesAnswer>(decoded.value());
+    return {};
+}
+
 EntryStateAnswer ReplicatedState::entryState() const
 {
     return EntryStateAnswer{.version = entryStateVersion_,
@@ -338,6 +402,22 @@
         {
             return state.entryState();
         }
+        Answer operator()(const RoutesQuery &) const
+        {
+            return state.routes_;
+        }
+        Answer operator()(const BulkPageQuery &asked) const
+        {
+            return state.bulk_.page(asked);
+        }
+        Answer operator()(const BulkBodyQuery &asked) const
+        {
+            return state.bulk_.body(asked);
+        }
+        Answer operator()(const RetiredStoresQuery &) const
+        {
+            return RetiredStores{{state.retired_.begin(), state.retired_.end()}};
+        }
     };
     return std::visit(Visitor{*this}, query);
 }
@@ -404,6 +484,21 @@
     return claims_.running(owner);
 }
 
+const RoutesAnswer &ReplicatedState::routes() const
+{
+    return routes_;
+}
+
+const BulkTable &ReplicatedState::bulk() const
+{
+    return bulk_;
+}
+
+const std::set<std::string> &ReplicatedState::retiredStores() const
+{
+    return retired_;
+}
+
 std::size_t ReplicatedState::jobMemoryBytes() const
 {
     return jobs_.memoryBytes();
--- a/persimmonlb/state/replicatedstate.h
+++ b/persimmonlb/state/replicatedstate.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "persimmonlb/audit/audittrail.h"
+#include "persimmonlb/bulk/bulktable.h"
 #include "persimmonlb/claims/claimtable.h"
 #include "persimmonlb/jobs/jobtable.h"
 #include "persimmonlb/orders/fencingcounter.h"
@@ -76,6 +77,10 @@
     [[nodiscard]] std::vector<Owner> owners() const;
     /// Claims of an owner that have no outcome.
     [[nodiscard]] std::size_t runningClaims(const Owner &owner) const;
+    /// The routes in force; version 0 before the first.
+    [[nodiscard]] const RoutesAnswer &routes() const;
+    [[nodiscard]] const BulkTable &bulk() const;
+    [[nodiscard]] const std::set<std::string> &retiredStores() const;
     /// Bytes of the jobs' index in memory, near enough for a benchmark.
     [[nodiscard]] std::size_t jobMemoryBytes() const;
 
@@ -96,7 +101,13 @@
     Reply applyOne(const ReleaseQuarantine &command, MutationList &changes);
     Reply applyOne(const ReserveFencing &command, MutationList &changes);
     Reply applyOne(const AppendAudit &command, MutationList &changes);
+    Reply applyOne(const PutRoutes &command, MutationList &changes);
+    Reply applyOne(const AcceptBulk &command, MutationList &changes);
+    Reply applyOne(const RecordBulk &command, MutationList &changes);
+    Reply applyOne(const EndBulk &command, MutationList &changes);
+    Reply applyOne(const RetireStore &command, MutationList &changes);
 
+    Result<void> reloadRoutes();
     void expire(WallTime at, MutationList &changes);
     void releaseOwner(const Owner &owner, WallTime at, MutationList &changes);
     void entryStateChanged(MutationList &changes);
@@ -112,6 +123,9 @@
     QuarantineTable quarantine_;
     AuditTrail audit_;
     FencingCounter fencing_;
+    BulkTable bulk_;
+    RoutesAnswer routes_;
+    std::set<std::string> retired_; ///< Names of storage hosts that were asked to leave.
     std::uint64_t entryStateVersion_ = 0;
 };
 
--- a/persimmonlb/wire/internal/messagefields.h
+++ b/persimmonlb/wire/internal/messagefields.h
@@ -228,4 +228,157 @@
     archive.field("n", message.slots);
 }
 
+template <typename Archive>
+void describeFields(Archive &archive, Fields<Archive, FleetServer> &message)
+{
+    archive.field("id", message.id);
+    archive.field("b", message.bornMs);
+    archive.field("q", message.sequence);
+    archive.field("s", message.service);
+    archive.field("a", message.address);
+    archive.field("z", message.availabilityZone);
+    archive.field("n", message.slots);
+    archive.field("d", message.draining);
+}
+
+template <typename Archive>
+void describeFields(Archive &archive, Fields<Archive, FleetEntry> &message)
+{
+    archive.field("h", message.host);
+    archive.field("a", message.address);
+    archive.field("z", message.availabilityZone);
+    archive.field("r", message.region);
+    archive.field("d", message.draining);
+}
+
+template <typename Archive>
+void describeFields(Archive &archive, Fields<Archive, FleetStore> &message)
+{
+    archive.field("h", message.host);
+    archive.field("n", message.name);
+    archive.field("m", message.meshAddress);
+    archive.field("c", message.controlAddress);
+}
+
+template <typename Archive>
+void describeFields(Archive &archive, Fields<Archive, FleetView> &message)
+{
+    archive.field("t", message.term);
+    archive.field("v", message.version);
+    archive.field("l", message.leader);
+    archive.field("rv", message.routesVersion);
+    archive.list("s", message.servers);
+    archive.list("e", message.entries);
+    archive.list("st", message.stores);
+}
+
+template <typename Archive>
+void describeFields(Archive &archive, Fields<Archive, HostReport> &message)
+{
+    archive.field("m", message.member);
+    archive.field("u", message.unused);
+    archive.field("n", message.name);
+    archive.field("a", message.address);
+    archive.field("ma", message.meshAddress);
+    archive.field("ca", message.controlAddress);
+    archive.field("z", message.availabilityZone);
+    archive.field("r", message.region);
+    archive.field("d", message.draining);
+    archive.field("rv", message.routesVersion);
+    archive.field("t", message.viewTerm);
+    archive.field("v", message.viewVersion);
+}
+
+template <typename Archive>
+void describeFields(Archive &archive, Fields<Archive, LeaderBeat> &message)
+{
+    archive.field("t", message.term);
+}
+
+template <typename Archive>
+void describeFields(Archive &archive, Fields<Archive, RoutesPush> &message)
+{
+    archive.field("v", message.version);
+    archive.bytes("t", message.text);
+}
+
+template <typename Archive>
+void describeFields(Archive &archive, Fields<Archive, ServerNotice> &message)
+{
+    archive.field("q", message.requestId);
+    archive.structure("s", message.server);
+    archive.field("g", message.gone);
+}
+
+template <typename Archive>
+void describeFields(Archive &archive, Fields<Archive, ServerNoticeReply> &message)
+{
+    archive.field("q", message.requestId);
+    archive.field("t", message.taken);
+}
+
+template <typename Archive>
+void describeFields(Archive &archive, Fields<Archive, MemberRemoved> &message)
+{
+    archive.field("m", message.member);
+}
+
+template <typename Archive>
+void describeFields(Archive &archive, Fields<Archive, PromptPart> &message)
+{
+    archive.field("k", message.key);
+    archive.field("t", message.tokens);
+}
+
+template <typename Archive>
+void describeFields(Archive &archive, Fields<Archive, SlotRequest> &message)
+{
+    archive.field("i", message.ticket);
+    archive.field("s", message.service);
+    archive.field("p", message.priority);
+    archive.field("w", message.startWithinMs);
+    archive.field("g", message.giveUpAfterMs);
+    archive.field("b", message.cameBack);
+    archive.field("t", message.tokens);
+    archive.list("pp", message.prompt);
+    archive.list("x", message.excluded);
+}
+
+template <typename Archive>
+void describeFields(Archive &archive, Fields<Archive, SlotGrant> &message)
+{
+    archive.field("i", message.ticket);
+    archive.field("s", message.server);
+    archive.field("a", message.address);
+}
+
+template <typename Archive>
+void describeFields(Archive &archive, Fields<Archive, SlotRefusal> &message)
+{
+    archive.field("i", message.ticket);
+    archive.field("r", message.retryAfterMs);
+}
+
+template <typename Archive>
+void describeFields(Archive &archive, Fields<Archive, SlotEnd> &message)
+{
+    archive.field("i", message.ticket);
+    archive.enumeration("o", message.outcome, SlotOutcome::Failed);
+    archive.field("h", message.heldMs);
+}
+
+template <typename Archive>
+void describeFields(Archive &archive, Fields<Archive, HeldSlot> &message)
+{
+    archive.field("i", message.ticket);
+    archive.field("s", message.server);
+    archive.field("t", message.tokens);
+}
+
+template <typename Archive>
+void describeFields(Archive &archive, Fields<Archive, SlotsHeld> &message)
+{
+    archive.list("s", message.slots);
+}
+
 } // namespace persimmonlb::internal
--- a/persimmonlb/wire/message.cpp
+++ b/persimmonlb/wire/message.cpp
@@ -23,6 +23,8 @@
 constexpr const char *groupField = "g";
 constexpr const char *kindField = "m";
 constexpr const char *bodyField = "b";
+constexpr const char *fromField = "f";
+constexpr const char *toField = "t";
 
 Error malformed(std::string message)
 {
@@ -69,6 +71,14 @@
     return number != nullptr ? std::optional(*number) : std::nullopt;
 }
 
+/// Empty when there is no such text.
+std::string findText(CborMap &map, std::string_view name)
+{
+    const CborValue *value = find(map, name);
+    const auto *text = value != nullptr ? std::get_if<std::string>(&value->data) : nullptr;
+    return text != nullptr ? *text : std::string();
+}
+
 } // namespace
 
 std::string encodeMessage(const PeerMessage &message)
@@ -83,6 +93,12 @@
             return writer.take();
         },
         message.body);
+    if (!message.fromMember.empty()) {
+        root[fromField] = message.fromMember.value;
+    }
+    if (!message.toMember.empty()) {
+        root[toField] = message.toMember.value;
+    }
     std::string bytes;
     nlohmann::json::to_cbor(root, bytes);
     return bytes;
@@ -109,7 +125,8 @@
     if (!decoded.ok()) {
         return decoded.error();
     }
-    return PeerMessage{static_cast<GroupId>(*group), std::move(decoded.value())};
+    return PeerMessage{static_cast<GroupId>(*group), std::move(decoded.value()),
+                       HostId{findText(*map, fromField)}, HostId{findText(*map, toField)}};
 }
 
 } // namespace persimmonlb
--- a/persimmonlb/wire/message.h
+++ b/persimmonlb/wire/message.h
@@ -8,6 +8,7 @@
 
 #include "persimmonlb/base/error.h"
 #include "persimmonlb/base/ids.h"
+#include "persimmonlb/fleet/fleetview.h"
 #include "persimmonlb/membership/server.h"
 
 /// Typed messages between our processes. One CBOR map per websocket message; the codec is in
@@ -206,13 +207,20 @@
     bool operator==(const YieldRequest &) const = default;
 };
 
-using PeerBody = std::variant<VoteRequest, VoteReply, AppendRequest, AppendReply, SnapshotChunk,
-                              SnapshotReply, ProposeRequest, QueryRequest, ControlReply,
-                              LeaseRequest, LeaseGrant, ServerDigest, YieldRequest>;
+using PeerBody
+    = std::variant<VoteRequest, VoteReply, AppendRequest, AppendReply, SnapshotChunk, SnapshotReply,
+                   ProposeRequest, QueryRequest, ControlReply, LeaseRequest, LeaseGrant,
+                   ServerDigest, YieldRequest, FleetView, HostReport, RoutesPush, ServerNotice,
+                   ServerNoticeReply, MemberRemoved, SlotRequest, SlotGrant, SlotRefusal, SlotEnd,
+                   SlotsHeld, LeaderBeat>;
 
 struct PeerMessage {
     GroupId group = defaultGroup;
     PeerBody body;
+    /// Members of the group that the message is between, where a host's member id is not its
+    /// host id; otherwise empty.
+    HostId fromMember = {};
+    HostId toMember = {};
 
     bool operator==(const PeerMessage &) const = default;
 };
--- a/persimmonlb/wire/message_test.cpp
+++ b/persimmonlb/wire/message_test.cpp
@@ -108,11 +108,62 @@
                                .firstHand = false}},
                      .demand = {{.caller = {"c"}, .perSecond = 0.1}}},
         YieldRequest{.server = {"s1"}, .slots = 2},
+        FleetView{.term = 1,
+                  .version = 2,
+                  .leader = {"h1"},
+                  .routesVersion = 3,
+                  .servers = {FleetServer{.id = {"s1"},
+                                          .bornMs = 4,
+                                          .sequence = 5,
+                                          .service = {"lm"},
+                                          .address = "10.0.0.1:80",
+                                          .availabilityZone = {"a"},
+                                          .slots = 6,
+                                          .draining = true}},
+                  .entries = {FleetEntry{.host = {"h2"},
+                                         .address = "10.0.0.2:80",
+                                         .availabilityZone = {"a"},
+                                         .region = {"r"},
+                                         .draining = true}},
+                  .stores = {FleetStore{.host = {"h1"},
+                                        .name = "store-1",
+                                        .meshAddress = "10.0.0.3:70",
+                                        .controlAddress = "10.0.0.3:80"}}},
+        HostReport{.member = {"h1#2"},
+                   .unused = true,
+                   .name = "store-1",
+                   .address = "10.0.0.2:80",
+                   .meshAddress = "10.0.0.2:70",
+                   .controlAddress = "10.0.0.2:60",
+                   .availabilityZone = {"a"},
+                   .region = {"r"},
+                   .draining = true,
+                   .routesVersion = 1,
+                   .viewTerm = 2,
+                   .viewVersion = 3},
+        RoutesPush{.version = 4, .text = std::string("\0{}", 3)},
+        ServerNotice{.requestId = 5, .server = {}, .gone = true},
+        ServerNoticeReply{.requestId = 5, .taken = true},
+        MemberRemoved{.member = {"h1#2"}},
+        SlotRequest{.ticket = 1,
+                    .service = {"lm"},
+                    .priority = 2,
+                    .startWithinMs = 3,
+                    .giveUpAfterMs = 4,
+                    .cameBack = true,
+                    .tokens = 5,
+                    .prompt = {{.key = 6, .tokens = 7}},
+                    .excluded = {{"s1"}}},
+        SlotGrant{.ticket = 1, .server = {"s1"}, .address = "10.0.0.1:80"},
+        SlotRefusal{.ticket = 1, .retryAfterMs = 250},
+        SlotEnd{.ticket = 1, .outcome = SlotOutcome::Failed, .heldMs = 900},
+        SlotsHeld{{{.ticket = 1, .server = {"s1"}, .tokens = 2}}},
+        LeaderBeat{.term = 9},
     };
     std::vector<PeerMessage> messages;
     messages.reserve(bodies.size());
     for (PeerBody &body : bodies) {
-        messages.push_back({7, std::move(body)});
+        messages.push_back({7, std::move(body), HostId{"h1#2"}, HostId{"h2"}});
     }
     return messages;
 }
@@ -120,7 +171,7 @@
 template <std::size_t... kinds>
 std::vector<PeerMessage> defaultsOfEveryKind(std::index_sequence<kinds...>)
 {
-    return {PeerMessage{defaultGroup, std::variant_alternative_t<kinds, PeerBody>()}...};
+    return {PeerMessage{defaultGroup, std::variant_alternative_t<kinds, PeerBody>(), {}, {}}...};
 }
 
 std::string cbor(const nlohmann::json &json)
