--- a/cmake/targets.cmake
+++ b/cmake/targets.cmake
@@ -1,5 +1,7 @@
 # Small targets that list their dependencies.
 
+set(deployedPrograms persimmonlbd persimmonlbctl persimmonlb-node)
+
 # plb_library(NAME SOURCES file... [DEPS target...] [PRIVATE_DEPS target...])
 # A static library that other components may link as plb::NAME.
 function(plb_library name)
@@ -14,6 +16,9 @@
 function(plb_program name)
   cmake_parse_arguments(ARG "" "" "SOURCES;DEPS" ${ARGN})
   add_executable(${name} ${ARG_SOURCES})
+  if(PERSIMMONLB_DEPLOY AND NOT name IN_LIST deployedPrograms)
+    set_target_properties(${name} PROPERTIES EXCLUDE_FROM_ALL ON)
+  endif()
   target_include_directories(${name} PRIVATE ${PROJECT_SOURCE_DIR})
   target_link_libraries(${name} PRIVATE ${ARG_DEPS})
   set_target_properties(${name} PROPERTIES RUNTIME_OUTPUT_DIRECTORY ${PROJECT_BINARY_DIR}/bin)
@@ -23,6 +28,9 @@
 # A Boost.Test program, run by ctest. Its sources define no main function and no
 # BOOST_TEST_MODULE: cmake/testmain.cpp does.
 function(plb_test name)
+  if(PERSIMMONLB_DEPLOY)
+    return()
+  endif()
   cmake_parse_arguments(ARG "" "" "SOURCES;DEPS" ${ARGN})
   add_executable(${name} ${ARG_SOURCES} ${PROJECT_SOURCE_DIR}/cmake/testmain.cpp)
   target_include_directories(${name} PRIVATE ${PROJECT_SOURCE_DIR})
--- /dev/null
+++ b/persimmonlb/bulk/bulkrunner.cpp
@@ -0,0 +1,474 @@
+#include "persimmonlb/bulk/bulkrunner.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+#include "persimmonlb/base/logline.h"
+
+namespace persimmonlb
+{
+
+namespace
+{
+
+constexpr double smoothing = 0.1; ///< Weight of the newest observation.
+constexpr std::uint16_t unprocessable = 422; ///< The server says that the item can never be done.
+
+void smooth(double &average, double observed)
+{
+    average += smoothing * (observed - average);
+}
+
+} // namespace
+
+BulkRunner::BulkRunner(BulkRunnerOptions options, Clock clock, SlotBroker &broker, Metrics &metrics,
+                       BulkRunnerHooks hooks)
+    : options_(options)
+    , clock_(std::move(clock))
+    , broker_(broker)
+    , metrics_(metrics)
+    , hooks_(std::move(hooks))
+    , eventsPerItem_(options.initialEvents)
+    , eventMs_(options.initialEventMs)
+{
+}
+
+BulkRunner::~BulkRunner() = default;
+
+std::size_t BulkRunner::running() const
+{
+    return runs_.size();
+}
+
+// ---- choice -----------------------------------------------------------------------------------
+
+Milliseconds BulkRunner::remaining(const Key &key) const
+{
+    const auto known = progress_.find(key);
+    const double done = known == progress_.end() ? 0 : static_cast<double>(known->second.count);
+    const double left = std::max(1.0, eventsPerItem_ - done);
+    return Milliseconds(static_cast<std::int64_t>(left * eventMs_));
+}
+
+Milliseconds BulkRunner::slackOf(const Key &key, WallTime dueAt) const
+{
+    return std::chrono::duration_cast<Milliseconds>(dueAt - clock_.wall()) - remaining(key);
+}
+
+bool BulkRunner::mayRun(const Key &key) const
+{
+    if (runs_.contains(key) || unrecorded_.contains(key)) {
+        return false;
+    }
+    const auto known = progress_.find(key);
+    return known == progress_.end() || clock_.monotonic() >= known->second.notBefore;
+}
+
+std::optional<BulkRunner::Candidate>
+BulkRunner::next(const BulkTable &table, const ServiceName &service, const RouteTable &routes) const
+{
+    std::optional<Candidate> best;
+    for (const auto &[id, job] : table.jobs()) {
+        if (!job.isOpen()) {
+            continue;
+        }
+        const Route *route = nullptr;
+        for (const Route &known : routes.routes()) {
+            if (known.name == job.route && known.host == job.host) {
+                route = &known;
+            }
+        }
+        const bool mayServe = route != nullptr
+            && std::ranges::any_of(route->services, [&service](const WeightedService &choice) {
+                                  return choice.service == service && choice.weight > 0;
+                              });
+        if (!mayServe) {
+            continue;
+        }
+        std::uint32_t index = 0;
+        for (const BulkItem &item : job.items) {
+            const Key key{id, index++};
+            if (item.phase != BulkItemPhase::Waiting || !mayRun(key)) {
+                continue;
+            }
+            const Milliseconds slack = slackOf(key, job.dueAt);
+            const bool hopeless = slack.count() < 0;
+            if (!best || std::pair(hopeless, slack) < std::pair(best->hopeless, best->slack)) {
+                best = Candidate{key, slack, hopeless};
+            }
+        }
+    }
+    return best;
+}
+
+void BulkRunner::startItems(const ServiceName &service)
+{
+    const BulkTable *table = hooks_.table();
+    const auto routes = hooks_.routes();
+    if (table == nullptr || !routes) {
+        return;
+    }
+    for (std::size_t started = 0; started < options_.maxStartsAtOnce; ++started) {
+        if (broker_.freeSlots(service) == 0) {
+            return;
+        }
+        const auto candidate = next(*table, service, *routes);
+        if (!candidate || !start(*table, *candidate, service)) {
+            return;
+        }
+    }
+}
+
+bool BulkRunner::start(const BulkTable &table, const Candidate &candidate,
+                       const ServiceName &service)
+{
+    const Key &key = candidate.key;
+    const auto job = table.jobs().find(key.job);
+    const std::uint64_t tokens = job->second.items[key.index].tokens;
+    const bool urgent = !candidate.hopeless && candidate.slack < options_.urgentSlack;
+    const auto server = broker_.takeForBatch(service, tokens, urgent);
+    if (!server) {
+        return false;
+    }
+    const auto spec = table.spec(key.job, key.index);
+    if (!spec) {
+        LogLine(LogLevel::Error, "bulk_item_unreadable")
+            .add("job", key.job.value)
+            .add("index", static_cast<std::int64_t>(key.index))
+            .write();
+        broker_.batchEnded({*server, tokens}, SlotOutcome::Abandoned);
+        progress_[key].notBefore = clock_.monotonic() + options_.failurePause;
+        return false;
+    }
+    Progress &progress = progress_[key];
+    progress.events.reopen();
+    const std::uint64_t number = nextRun_++;
+    HttpRequest request
+        = hooks_.codec.encode(hooks_.itemRequest(job->second.host, *spec),
+                              RelayAttempt{.server = *server,
+                                           .timeLeft = Milliseconds(0),
+                                           .lastEventId = progress.events.lastId()});
+    Run &run = runs_[key];
+    run.service = service;
+    run.slot = {*server, tokens};
+    run.dueAt = job->second.dueAt;
+    run.startedAt = clock_.monotonic();
+    run.progressAt = run.startedAt;
+    run.startedWith = progress.count;
+    run.number = number;
+    run.exchange = hooks_.send(broker_.addressOf(*server), std::move(request), Milliseconds(0),
+                               exchangeHooks(key, number));
+    metrics_.count("persimmonlb_bulk_runs_total", {});
+    return true;
+}
+
+// ---- one run ----------------------------------------------------------------------------------
+
+BulkRunner::Run *BulkRunner::find(const Key &key, std::uint64_t number)
+{
+    const auto found = runs_.find(key);
+    return found == runs_.end() || found->second.number != number ? nullptr : &found->second;
+}
+
+HttpExchangeHooks BulkRunner::exchangeHooks(const Key &key, std::uint64_t number)
+{
+    const std::weak_ptr<bool> alive = alive_;
+    HttpExchangeHooks hooks;
+    hooks.head = [this, alive, key, number](const HttpResponseHead &head) {
+        Run *run = alive.expired() ? nullptr : find(key, number);
+        if (run == nullptr) {
+            return;
+        }
+        const BulkTable *table = hooks_.table();
+        const auto job = table == nullptr ? std::map<JobId, BulkJob>::const_iterator()
+                                          : table->jobs().find(key.job);
+        if (table == nullptr || job == table->jobs().end()) {
+            return;
+        }
+        run->status = head.status;
+        run->answerClass = hooks_.codec.classify(job->second.items[key.index].id, head);
+    };
+    hooks.chunk = [this, alive, key, number](const std::string &chunk) {
+        if (!alive.expired()) {
+            chunkArrived(key, number, chunk);
+        }
+    };
+    hooks.end = [this, alive, key, number](const HttpExchangeEnd &end) {
+        if (!alive.expired()) {
+            exchangeEnded(key, number, end);
+        }
+    };
+    return hooks;
+}
+
+void BulkRunner::chunkArrived(const Key &key, std::uint64_t number, std::string_view chunk)
+{
+    Run *run = find(key, number);
+    if (run == nullptr || run->answerClass != AnswerClass::Success) {
+        return;
+    }
+    Progress &progress = progress_[key];
+    for (const StreamEvent &event : progress.events.feed(chunk)) {
+        progress.output += progress.count > 0 ? "\n" : "";
+        progress.output += event.data;
+        ++progress.count;
+        run->progressAt = clock_.monotonic();
+    }
+    if (progress.events.isBroken()) {
+        runFailed(key, SlotOutcome::Failed, "an event is missing", options_.refusalPause);
+    }
+}
+
+void BulkRunner::exchangeEnded(const Key &key, std::uint64_t number, const HttpExchangeEnd &end)
+{
+    Run *run = find(key, number);
+    if (run == nullptr) {
+        return;
+    }
+    if (end.code != ResultCode::Ok) {
+        const bool unreachable = end.sendState == SendState::NothingSent;
+        runFailed(key, unreachable ? SlotOutcome::Unreachable : SlotOutcome::Failed, end.message,
+                  Milliseconds(0));
+        return;
+    }
+    switch (run->answerClass) {
+    case AnswerClass::NotRun:
+        runFailed(key, SlotOutcome::Refused, "the server did not run it", options_.refusalPause);
+        return;
+    case AnswerClass::Foreign:
+        runFailed(key, SlotOutcome::Failed, "an answer to another request", Milliseconds(0));
+        return;
+    case AnswerClass::Failure:
+        break;
+    case AnswerClass::Success:
+        completed(key);
+        return;
+    }
+    const std::uint16_t status = run->status;
+    progress_[key].notBefore = clock_.monotonic() + options_.failurePause;
+    record(key, status == unprocessable ? BulkItemPhase::DeadLettered : BulkItemPhase::Waiting, {},
+           "status " + std::to_string(status));
+    endRun(key, status == unprocessable ? SlotOutcome::Abandoned : SlotOutcome::Failed);
+}
+
+void BulkRunner::completed(const Key &key)
+{
+    const Progress &progress = progress_[key];
+    if (progress.events.isInsideEvent() || progress.count == 0) {
+        runFailed(key, SlotOutcome::Failed, "the stream ended inside an event", Milliseconds(0));
+        return;
+    }
+    noteSpeed(runs_.at(key), progress);
+    smooth(eventsPerItem_, static_cast<double>(progress.count));
+    // Recorded first: a slot that is given back may be offered to this item at once.
+    record(key, BulkItemPhase::Completed, progress.output, "complete");
+    endRun(key, SlotOutcome::Completed);
+}
+
+void BulkRunner::noteSpeed(const Run &run, const Progress &progress)
+{
+    const std::uint64_t events = progress.count - run.startedWith;
+    if (events == 0) {
+        return;
+    }
+    const auto took
+        = std::chrono::duration<double, std::milli>(clock_.monotonic() - run.startedAt).count();
+    smooth(eventMs_, took / static_cast<double>(events));
+}
+
+void BulkRunner::endRun(const Key &key, SlotOutcome outcome)
+{
+    const auto found = runs_.find(key);
+    const BatchRunSlot slot = found->second.slot;
+    runs_.erase(found);
+    broker_.batchEnded(slot, outcome);
+}
+
+void BulkRunner::runFailed(const Key &key, SlotOutcome outcome, std::string_view why,
+                           Milliseconds pause)
+{
+    const Run &run = runs_.at(key);
+    LogLine(LogLevel::Info, "bulk_run_failed")
+        .add("job", key.job.value)
+        .add("index", static_cast<std::int64_t>(key.index))
+        .add("server", run.slot.server.value)
+        .add("events", static_cast<std::int64_t>(progress_[key].count))
+        .add("why", why)
+        .write();
+    metrics_.count("persimmonlb_bulk_runs_failed_total", {});
+    progress_[key].notBefore = clock_.monotonic() + pause;
+    endRun(key, outcome);
+}
+
+// ---- records ----------------------------------------------------------------------------------
+
+void BulkRunner::record(const Key &key, BulkItemPhase phase, std::string output,
+                        std::string_view why)
+{
+    if (phase == BulkItemPhase::DeadLettered || phase == BulkItemPhase::Waiting) {
+        LogLine(LogLevel::Info, "bulk_item_failed")
+            .add("job", key.job.value)
+            .add("index", static_cast<std::int64_t>(key.index))
+            .add("final", phase == BulkItemPhase::DeadLettered ? "yes" : "no")
+            .add("why", why)
+            .write();
+    }
+    unrecorded_[key] = BulkOutcome{key.index, phase, std::move(output)};
+    propose(key);
+}
+
+void BulkRunner::propose(const Key &key)
+{
+    proposeAgain_[key] = clock_.monotonic() + options_.recordRetry;
+    const RecordBulk command{key.job, {unrecorded_.at(key)}, clock_.wall()};
+    const std::weak_ptr<bool> alive = alive_;
+    hooks_.propose(command, [this, alive, key](const Outcome<Reply> &reply) {
+        if (alive.expired() || !reply.ok()) {
+            return;
+        }
+        const auto found = unrecorded_.find(key);
+        if (found == unrecorded_.end()) {
+            return;
+        }
+        if (found->second.phase != BulkItemPhase::Waiting) {
+            progress_.erase(key);
+        }
+        unrecorded_.erase(found);
+        proposeAgain_.erase(key);
+    });
+}
+
+// ---- upkeep -----------------------------------------------------------------------------------
+
+std::optional<BatchRunSlot> BulkRunner::yield(const ServiceName &service)
+{
+    const Key *victim = nullptr;
+    Milliseconds most{0};
+    for (const auto &[key, run] : runs_) {
+        if (run.service != service) {
+            continue;
+        }
+        const Milliseconds slack = slackOf(key, run.dueAt);
+        const bool hopeless = slack.count() < 0;
+        const bool kept
+            = remaining(key) < options_.keptRest || (!hopeless && slack < options_.keptSlack);
+        if (kept) {
+            continue;
+        }
+        const Milliseconds spare = hopeless ? Milliseconds::max() : slack;
+        if (victim == nullptr || spare > most) {
+            victim = &key;
+            most = spare;
+        }
+    }
+    if (victim == nullptr) {
+        return std::nullopt;
+    }
+    const Key key = *victim;
+    const auto found = runs_.find(key);
+    noteSpeed(found->second, progress_[key]);
+    const BatchRunSlot slot = found->second.slot;
+    runs_.erase(found);
+    metrics_.count("persimmonlb_bulk_yields_total", {});
+    return slot;
+}
+
+void BulkRunner::keepOnly(const std::set<ServerId> &usable)
+{
+    std::vector<Key> lost;
+    for (const auto &[key, run] : runs_) {
+        if (!usable.contains(run.slot.server)) {
+            lost.push_back(key);
+        }
+    }
+    for (const Key &key : lost) {
+        endRun(key, SlotOutcome::Abandoned);
+    }
+}
+
+void BulkRunner::stop()
+{
+    runs_.clear();
+    progress_.clear();
+    unrecorded_.clear();
+    proposeAgain_.clear();
+}
+
+void BulkRunner::tick()
+{
+    const BulkTable *table = hooks_.table();
+    if (table == nullptr) {
+        return;
+    }
+    if (table->version() != seenVersion_) {
+        seenVersion_ = table->version();
+        dropEnded(*table);
+    }
+    abandonOld(*table);
+    const MonotonicTime now = clock_.monotonic();
+    std::vector<Key> silent;
+    for (const auto &[key, run] : runs_) {
+        if (now - run.progressAt > options_.eventPatience) {
+            silent.push_back(key);
+        }
+    }
+    for (const Key &key : silent) {
+        runFailed(key, SlotOutcome::Failed, "the server went silent", Milliseconds(0));
+    }
+    std::vector<Key> again;
+    for (const auto &[key, when] : proposeAgain_) {
+        if (now >= when) {
+            again.push_back(key);
+        }
+    }
+    for (const Key &key : again) {
+        propose(key);
+    }
+}
+
+void BulkRunner::dropEnded(const BulkTable &table)
+{
+    const auto isOver = [&table](const Key &key) {
+        const auto job = table.jobs().find(key.job);
+        return job == table.jobs().end() || job->second.ended
+            || job->second.items[key.index].phase != BulkItemPhase::Waiting;
+    };
+    std::vector<Key> over;
+    for (const auto &[key, run] : runs_) {
+        if (isOver(key)) {
+            over.push_back(key);
+        }
+    }
+    for (const Key &key : over) {
+        endRun(key, SlotOutcome::Abandoned);
+    }
+    std::erase_if(progress_, [&](const auto &entry) { return isOver(entry.first); });
+    std::erase_if(unrecorded_, [&](const auto &entry) { return isOver(entry.first); });
+    std::erase_if(proposeAgain_, [&](const auto &entry) { return isOver(entry.first); });
+}
+
+void BulkRunner::abandonOld(const BulkTable &table)
+{
+    const WallTime now = clock_.wall();
+    std::vector<Key> old;
+    for (const auto &[id, job] : table.jobs()) {
+        if (!job.isOpen() || now < job.abandonAt + options_.abandonMargin) {
+            continue;
+        }
+        for (std::uint32_t index = 0; index < job.items.size(); ++index) {
+            const Key key{id, index};
+            if (job.items[index].phase == BulkItemPhase::Waiting && !unrecorded_.contains(key)) {
+                old.push_back(key);
+            }
+        }
+    }
+    for (const Key &key : old) {
+        if (runs_.contains(key)) {
+            endRun(key, SlotOutcome::Abandoned);
+        }
+        record(key, BulkItemPhase::DeadLettered, {}, "not done in time");
+    }
+}
+
+} // namespace persimmonlb
--- /dev/null
+++ b/persimmonlb/bulk/bulkrunner.h
@@ -0,0 +1,150 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+
+#include "persimmonlb/base/clock.h"
+#include "persimmonlb/base/metrics.h"
+#include "persimmonlb/bulk/bulktable.h"
+#include "persimmonlb/http/client.h"
+#include "persimmonlb/relay/eventreader.h"
+#include "persimmonlb/relay/relayrequest.h"
+#include "persimmonlb/slots/slotbroker.h"
+
+namespace persimmonlb
+{
+
+struct BulkRunnerOptions {
+    /// Until enough items have ended: an answer of some 2,000 tokens in events of 8.
+    double initialEvents = 250;
+    double initialEventMs = 25;
+    /// An item with less slack takes slots from the reserve too.
+    Milliseconds urgentSlack{2000};
+    /// A run with less slack, or that ends this soon, is not ended for online requests.
+    Milliseconds keptSlack{300};
+    Milliseconds keptRest{700};
+    /// A server that shows no event for so long is left for another one.
+    Milliseconds eventPatience{1500};
+    /// Before an item that failed, or was refused by its server, is tried again.
+    Milliseconds failurePause{500};
+    Milliseconds refusalPause{100};
+    /// Before a record whose fate is unknown is proposed again.
+    Milliseconds recordRetry{500};
+    /// An item is given up this much later than allowed, against clocks that differ.
+    Milliseconds abandonMargin{300};
+    std::size_t maxStartsAtOnce = 16;
+};
+
+struct BulkRunnerHooks {
+    /// The jobs, or null while this host does not lead.
+    std::function<const BulkTable *()> table;
+    /// The routes in force.
+    std::function<std::shared_ptr<const RouteTable>()> routes;
+    std::function<void(const Command &command, std::function<void(Outcome<Reply>)> done)> propose;
+    std::function<HttpRequest(const std::string &host, const BulkItemSpec &item)> itemRequest;
+    RelayCodec codec;
+    std::function<std::unique_ptr<HttpExchange>(const std::string &address, HttpRequest request,
+                                                Milliseconds deadline, HttpExchangeHooks hooks)>
+        send;
+};
+
+/// Runs the items of bulk jobs on slots that online requests leave.
+///
+/// A run may be ended at any event; the item goes on behind that event later, on any server. Items
+/// that are due first come first; those that can no longer be in time come after those that can.
+/// What an item has so far is kept in memory only: another leader starts it anew. Not thread-safe.
+class BulkRunner
+{
+public:
+    BulkRunner(BulkRunnerOptions options, Clock clock, SlotBroker &broker, Metrics &metrics,
+               BulkRunnerHooks hooks);
+    BulkRunner(const BulkRunner &) = delete;
+    BulkRunner &operator=(const BulkRunner &) = delete;
+    ~BulkRunner();
+
+    /// Starts items of the service while slots are free.
+    void startItems(const ServiceName &service);
+    /// Ends the run of the service that has the most time to spare.
+    std::optional<BatchRunSlot> yield(const ServiceName &service);
+    /// Runs on servers that drain or are gone end, to go on elsewhere.
+    void keepOnly(const std::set<ServerId> &usable);
+    /// Ends every run: this host does not lead any more.
+    void stop();
+    /// Ends runs of ended jobs, gives up what is too old. Call each 20 ms or so.
+    void tick();
+
+    [[nodiscard]] std::size_t running() const;
+
+private:
+    struct Key {
+        JobId job;
+        std::uint32_t index = 0;
+
+        // NOLINTNEXTLINE(modernize-use-nullptr): reported falsely on a defaulted comparison
+        auto operator<=>(const Key &) const = default;
+    };
+    struct Progress {
+        EventReader events;
+        std::string output;
+        std::uint64_t count = 0; ///< Events so far.
+        MonotonicTime notBefore;
+    };
+    struct Run {
+        std::unique_ptr<HttpExchange> exchange;
+        ServiceName service;
+        BatchRunSlot slot;
+        WallTime dueAt;
+        AnswerClass answerClass = AnswerClass::Foreign;
+        std::uint16_t status = 0;
+        MonotonicTime startedAt;
+        MonotonicTime progressAt;
+        std::uint64_t startedWith = 0; ///< Events before this run.
+        std::uint64_t number = 0; ///< Tells a run of an item from a later one.
+    };
+    struct Candidate {
+        Key key;
+        Milliseconds slack{0};
+        bool hopeless = false;
+    };
+
+    [[nodiscard]] Milliseconds remaining(const Key &key) const;
+    [[nodiscard]] Milliseconds slackOf(const Key &key, WallTime dueAt) const;
+    [[nodiscard]] std::optional<Candidate> next(const BulkTable &table, const ServiceName &service,
+                                                const RouteTable &routes) const;
+    [[nodiscard]] bool mayRun(const Key &key) const;
+    bool start(const BulkTable &table, const Candidate &candidate, const ServiceName &service);
+    HttpExchangeHooks exchangeHooks(const Key &key, std::uint64_t number);
+    Run *find(const Key &key, std::uint64_t number);
+    void chunkArrived(const Key &key, std::uint64_t number, std::string_view chunk);
+    void exchangeEnded(const Key &key, std::uint64_t number, const HttpExchangeEnd &end);
+    void endRun(const Key &key, SlotOutcome outcome);
+    void runFailed(const Key &key, SlotOutcome outcome, std::string_view why, Milliseconds pause);
+    void completed(const Key &key);
+    void record(const Key &key, BulkItemPhase phase, std::string output, std::string_view why);
+    void propose(const Key &key);
+    void dropEnded(const BulkTable &table);
+    void abandonOld(const BulkTable &table);
+    void noteSpeed(const Run &run, const Progress &progress);
+
+    BulkRunnerOptions options_;
+    Clock clock_;
+    SlotBroker &broker_;
+    Metrics &metrics_;
+    BulkRunnerHooks hooks_;
+    std::map<Key, Run> runs_;
+    std::map<Key, Progress> progress_;
+    std::map<Key, BulkOutcome> unrecorded_; ///< Ended here, not yet in the replicated state.
+    std::map<Key, MonotonicTime> proposeAgain_;
+    std::uint64_t seenVersion_ = 0;
+    std::uint64_t nextRun_ = 1;
+    double eventsPerItem_;
+    double eventMs_;
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+} // namespace persimmonlb
--- a/persimmonlb/control/controlclient.cpp
+++ b/persimmonlb/control/controlclient.cpp
@@ -164,4 +164,11 @@
     leader_ = leader;
 }
 
+void ControlClient::setControlHosts(std::vector<HostId> hosts)
+{
+    if (!hosts.empty()) {
+        options_.controlHosts = std::move(hosts);
+    }
+}
+
 } // namespace persimmonlb
--- a/persimmonlb/control/controlclient.h
+++ b/persimmonlb/control/controlclient.h
@@ -51,6 +51,8 @@
     [[nodiscard]] const HostId &leader() const;
     /// Tells the client what another message said of the leader.
     void noteLeader(const HostId &leader);
+    /// Replaces the list of hosts that may lead; an empty one is ignored.
+    void setControlHosts(std::vector<HostId> hosts);
 
 private:
     struct Request {
--- a/persimmonlb/daemon/controlrole.cpp
+++ b/persimmonlb/daemon/controlrole.cpp
@@ -19,12 +19,12 @@
 constexpr Milliseconds lapseCheckInterval{100};
 constexpr std::uint64_t retainedShare = 2; ///< Half of the snapshot interval stays in the log.
 
-AgreementOptions makeOptions(const Settings &settings)
+AgreementOptions makeOptions(const ControlRoleDeps &deps)
 {
     AgreementOptions options;
-    options.self = settings.host.id;
-    options.limits.compactAfterEntries = settings.control.snapshotEntries;
-    options.limits.retainedEntries = settings.control.snapshotEntries / retainedShare;
+    options.self = deps.member;
+    options.limits.compactAfterEntries = deps.snapshotEntries;
+    options.limits.retainedEntries = deps.snapshotEntries / retainedShare;
     return options;
 }
 
@@ -54,10 +54,9 @@
 
 Result<void> ControlRole::start()
 {
-    BOOST_LEAF_AUTO(store,
-                    DiskStore::open({.folder = deps_.settings.host.dataFolder,
-                                     .host = deps_.settings.host.id,
-                                     .post = deps_.post}));
+    BOOST_LEAF_AUTO(
+        store,
+        DiskStore::open({.folder = deps_.dataFolder, .host = deps_.member, .post = deps_.post}));
     auto parts = std::make_unique<Parts>(std::move(store));
     Parts *raw = parts.get();
 
@@ -89,28 +88,34 @@
     };
     service.send = deps_.send;
     LeaseTableOptions leases;
-    leases.lease = deps_.settings.control.lease;
-    parts->service = std::make_unique<ControlService>(leases, deps_.settings.host.id, deps_.clock,
-                                                      std::move(service));
+    leases.lease = deps_.lease;
+    parts->service
+        = std::make_unique<ControlService>(leases, deps_.member, deps_.clock, std::move(service));
 
     AgreementHooks hooks;
     hooks.send = [this](const HostId &to, PeerBody body) {
         deps_.send(to, std::move(body));
     };
-    hooks.becameLeader = [raw] {
+    hooks.becameLeader = [this, raw] {
         LogLine(LogLevel::Info, "became_leader")
             .add("term", static_cast<std::int64_t>(raw->agreement->status().term))
             .write();
         raw->service->leadershipBegan();
+        if (deps_.leadershipChanged) {
+            deps_.leadershipChanged(true);
+        }
     };
-    hooks.lostLeadership = [] {
+    hooks.lostLeadership = [this] {
         LogLine(LogLevel::Info, "lost_leadership").write();
+        if (deps_.leadershipChanged) {
+            deps_.leadershipChanged(false);
+        }
     };
     hooks.memberEvent = [this, raw](const MemberEvent &event) {
         AuditRecord record;
         record.at = deps_.clock.wall();
         record.kind = "member";
-        record.who = deps_.settings.host.id.value;
+        record.who = deps_.member.value;
         record.subject = event.host.value;
         record.detail = event.kind;
         // The log index names the event, so that one told twice is entered once.
@@ -122,7 +127,7 @@
         deps_.post([this, why = error.message] { deps_.failed(why); });
     };
     parts->agreement
-        = std::make_unique<Agreement>(makeOptions(deps_.settings),
+        = std::make_unique<Agreement>(makeOptions(deps_),
                                       AgreementDependencies{.log = parts->store->logStore(),
                                                             .state = parts->store->stateStore(),
                                                             .machine = parts->state.machine(),
@@ -190,15 +195,37 @@
     parts_->agreement->replaceMember(lost, fresh, std::move(done));
 }
 
+GroupStatus ControlRole::status() const
+{
+    return parts_ ? parts_->agreement->status() : GroupStatus();
+}
+
+const ReplicatedState *ControlRole::state() const
+{
+    return parts_ ? &parts_->state : nullptr;
+}
+
+void ControlRole::propose(const Command &command, std::function<void(Outcome<Reply>)> done)
+{
+    if (!parts_) {
+        done(makeError(ResultCode::StoreUnavailable, "the control role is not running"));
+        return;
+    }
+    parts_->agreement->propose(
+        encodeCommand(command), [done = std::move(done)](const Outcome<std::string> &reply) {
+            done(reply.ok() ? decodeReply(reply.value()) : Outcome<Reply>(reply.error()));
+        });
+}
+
 std::string ControlRole::statusJson() const
 {
-    const GroupStatus status = parts_ ? parts_->agreement->status() : GroupStatus();
+    const GroupStatus status = this->status();
     nlohmann::json members = nlohmann::json::array();
     for (const MemberStatus &member : status.members) {
         members.push_back(
             {{"host", member.host.value}, {"voter", member.voter}, {"match", member.matchIndex}});
     }
-    const nlohmann::json json{{"host", deps_.settings.host.id.value},
+    const nlohmann::json json{{"host", deps_.member.value},
                               {"role", toString(status.role)},
                               {"term", status.term},
                               {"leader", status.leader.value_or(HostId()).value},
--- a/persimmonlb/daemon/controlrole.h
+++ b/persimmonlb/daemon/controlrole.h
@@ -5,17 +5,21 @@
 #include <string>
 #include <vector>
 
+#include "persimmonlb/agreement/agreement.h"
 #include "persimmonlb/base/clock.h"
 #include "persimmonlb/base/error.h"
 #include "persimmonlb/base/ids.h"
-#include "persimmonlb/daemon/settings.h"
+#include "persimmonlb/state/replicatedstate.h"
 #include "persimmonlb/wire/message.h"
 
 namespace persimmonlb
 {
 
 struct ControlRoleDeps {
-    Settings settings;
+    HostId member; ///< Id of this host in the group.
+    std::string dataFolder;
+    std::uint64_t snapshotEntries = 0; ///< Log entries after which the log is compacted.
+    Milliseconds lease{0}; ///< Of an entry host.
     Clock clock;
     RandomSource random;
     /// Sends to a host, this one included.
@@ -24,6 +28,8 @@
     std::function<void(std::function<void()>)> post;
     /// The store failed or another fault that only a restart of the role can mend.
     std::function<void(const std::string &why)> failed;
+    /// This member began or ceased to lead; may be empty.
+    std::function<void(bool leads)> leadershipChanged;
 };
 
 /// The role `control`: durable store, replicated log, the state behind it and the service to entry
@@ -50,6 +56,12 @@
                        std::function<void(Outcome<Done>)> done);
     /// Role, term, leader, positions and members as JSON.
     [[nodiscard]] std::string statusJson() const;
+    /// Empty while the role does not run.
+    [[nodiscard]] GroupStatus status() const;
+    /// Null while the role does not run.
+    [[nodiscard]] const ReplicatedState *state() const;
+    /// Proposes on this member. Errors: NotLeader, NoQuorum, StoreUnavailable, Overloaded.
+    void propose(const Command &command, std::function<void(Outcome<Reply>)> done);
     [[nodiscard]] bool isLeader() const;
 
 private:
--- a/persimmonlb/daemon/node.cpp
+++ b/persimmonlb/daemon/node.cpp
@@ -102,7 +102,7 @@
     if (!mesh || !connected.contains(to)) {
         return false;
     }
-    std::string bytes = encodeMessage(PeerMessage{defaultGroup, std::move(body)});
+    std::string bytes = encodeMessage(PeerMessage{defaultGroup, std::move(body), {}, {}});
     metrics.count("persimmonlb_mesh_sent_messages_total", {});
     metrics.count("persimmonlb_mesh_sent_bytes_total", {}, bytes.size());
     return mesh->send(to, std::move(bytes));
@@ -210,15 +210,16 @@
 {
     if (settings.host.control) {
         control = std::make_unique<ControlRole>(ControlRoleDeps{
-            .settings = settings,
+            .member = settings.host.id,
+            .dataFolder = settings.host.dataFolder,
+            .snapshotEntries = settings.control.snapshotEntries,
+            .lease = settings.control.lease,
             .clock = clock,
             .random = random,
             .send = [this](const HostId &to, PeerBody body) { return send(to, std::move(body)); },
             .post = [this](std::function<void()> fn) { boost::asio::post(context, std::move(fn)); },
-            .failed =
-                [this](const std::string &why) {
-                    supervisor.childFailed(controlChild, why);
-                }});
+            .failed = [this](const std::string &why) { supervisor.childFailed(controlChild, why); },
+            .leadershipChanged = nullptr});
         supervisor.add({controlChild, [this] { return control->start(); },
                         [this] {
                             control->stop();
--- a/persimmonlb/daemon/settings.cpp
+++ b/persimmonlb/daemon/settings.cpp
@@ -109,18 +109,6 @@
     return node.is_array() && node.as_array()->is_homogeneous(toml::node_type::string);
 }
 
-bool isEndpoint(std::string_view text)
-{
-    const auto colon = text.rfind(':');
-    if (colon == std::string_view::npos || colon == 0) {
-        return false;
-    }
-    const std::string_view digits = text.substr(colon + 1);
-    std::uint32_t port = 0;
-    const auto [end, error] = std::from_chars(digits.data(), digits.data() + digits.size(), port);
-    return error == std::errc() && end == digits.data() + digits.size() && port <= 65535;
-}
-
 const SettingInfo *findInfo(std::string_view key)
 {
     const auto row = std::ranges::find(table, key, &SettingInfo::key);
@@ -373,6 +361,18 @@
 
 } // namespace
 
+bool isEndpoint(std::string_view text)
+{
+    const auto colon = text.rfind(':');
+    if (colon == std::string_view::npos || colon == 0) {
+        return false;
+    }
+    const std::string_view digits = text.substr(colon + 1);
+    std::uint32_t port = 0;
+    const auto [end, error] = std::from_chars(digits.data(), digits.data() + digits.size(), port);
+    return error == std::errc() && end == digits.data() + digits.size() && port <= 65535;
+}
+
 std::span<const SettingInfo> allSettings()
 {
     return table;
--- a/persimmonlb/daemon/settings.h
+++ b/persimmonlb/daemon/settings.h
@@ -120,6 +120,9 @@
 /// key, wrong type, out of range, missing, or not an "ip:port".
 Result<Settings> parseSettings(std::string_view text);
 
+/// True for "ip:port".
+bool isEndpoint(std::string_view text);
+
 /// Reads the one line of a key file. Errors: SettingsInvalid when it cannot be read, is empty, or
 /// others than its owner may read it.
 Result<std::string> readKeyFile(const std::string &path);
--- /dev/null
+++ b/persimmonlb/fleetnode/fleetnode.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include <boost/asio/io_context.hpp>
+
+#include "persimmonlb/base/clock.h"
+#include "persimmonlb/base/error.h"
+#include "persimmonlb/control/controlclient.h"
+#include "persimmonlb/fleetnode/fleetface.h"
+#include "persimmonlb/fleetnode/fleetsettings.h"
+#include "persimmonlb/fleetnode/gatewayrole.h"
+#include "persimmonlb/fleetnode/storagerole.h"
+
+namespace persimmonlb
+{
+
+/// One process of a fleet that forms, heals and configures itself: takes callers, stores, or both.
+///
+/// Example:
+///   FleetNode node(context, settings, [&](FleetNode &self) { return makeFace(self); });
+///   BOOST_LEAF_CHECK(node.start());
+///   context.run();
+///   return node.exitCode();
+///
+/// Used on the thread that runs the context.
+class FleetNode
+{
+public:
+    FleetNode(boost::asio::io_context &context, FleetSettings settings,
+              const std::function<FleetFace(FleetNode &)> &makeFace);
+    FleetNode(const FleetNode &) = delete;
+    FleetNode &operator=(const FleetNode &) = delete;
+    ~FleetNode();
+
+    /// Errors: AddressInUse, SettingsInvalid, DataFolderUnusable.
+    Result<void> start();
+    /// Starts the planned stop; the context ends when it is done. A second call stops at once.
+    void stop();
+    /// Takes settings that were read again; only the log level may change in a life.
+    void settingsChanged(const FleetSettings &settings);
+    [[nodiscard]] int exitCode() const;
+
+    [[nodiscard]] const FleetSettings &settings() const;
+    /// Null on hosts that take no callers.
+    [[nodiscard]] GatewayRole *gateway() const;
+    /// Null on hosts that do not store.
+    [[nodiscard]] StorageRole *storage() const;
+    /// The way to the replicated group, wherever it is led.
+    [[nodiscard]] ControlClient &control() const;
+    [[nodiscard]] const Clock &clock() const;
+
+private:
+    struct Parts;
+
+    std::unique_ptr<Parts> parts_;
+};
+
+} // namespace persimmonlb
--- /dev/null
+++ b/persimmonlb/fleetnode/fleetsettings.cpp
@@ -0,0 +1,193 @@
+#include "persimmonlb/fleetnode/fleetsettings.h"
+
+#include <algorithm>
+#include <array>
+#include <optional>
+#include <stdexcept>
+
+#include "persimmonlb/base/toml.h"
+#include "persimmonlb/daemon/settings.h"
+
+namespace persimmonlb
+{
+
+namespace
+{
+
+/// Looks values up by their dotted key; the first that is missing or wrong is the error.
+class Reader
+{
+public:
+    explicit Reader(const toml::table &root)
+        : root_(root)
+    {
+    }
+
+    std::string text(std::string_view key)
+    {
+        const auto value = root_.at_path(key).value<std::string>();
+        if (!value || value->empty()) {
+            complain(key, "missing");
+            return {};
+        }
+        return *value;
+    }
+    std::string endpoint(std::string_view key, bool required)
+    {
+        const std::string value = root_.at_path(key).value_or(std::string());
+        if (value.empty() && !required) {
+            return {};
+        }
+        if (!isEndpoint(value)) {
+            complain(key, "must be \"ip:port\"");
+        }
+        return value;
+    }
+    Milliseconds duration(std::string_view key)
+    {
+        const auto value = root_.at_path(key).value<std::int64_t>();
+        if (!value || *value <= 0) {
+            complain(key, "must be a number of milliseconds above 0");
+            return Milliseconds(0);
+        }
+        return Milliseconds(*value);
+    }
+    Milliseconds seconds(std::string_view key)
+    {
+        const auto value = root_.at_path(key).value<double>();
+        if (!value || !(*value > 0)) {
+            complain(key, "must be a number of seconds above 0");
+            return Milliseconds(0);
+        }
+        constexpr double millisecondsPerSecond = 1000;
+        return Milliseconds(static_cast<std::int64_t>(*value * millisecondsPerSecond));
+    }
+    std::uint16_t port(std::string_view key)
+    {
+        constexpr std::int64_t mostPort = 65535;
+        const auto value = root_.at_path(key).value<std::int64_t>();
+        if (!value || *value < 1 || *value > mostPort) {
+            complain(key, "must be a port");
+            return 0;
+        }
+        return static_cast<std::uint16_t>(*value);
+    }
+    bool flag(std::string_view key)
+    {
+        const auto value = root_.at_path(key).value<bool>();
+        if (!value) {
+            complain(key, "must be true or false");
+        }
+        return value.value_or(false);
+    }
+    std::vector<std::string> endpoints(std::string_view key)
+    {
+        std::vector<std::string> values;
+        const toml::array *array = root_.at_path(key).as_array();
+        if (array == nullptr) {
+            complain(key, "must be a list");
+            return values;
+        }
+        for (const toml::node &node : *array) {
+            values.push_back(node.value_or(std::string()));
+            if (!isEndpoint(values.back())) {
+                complain(key, "must hold \"ip:port\" only");
+            }
+        }
+        return values;
+    }
+    void complain(std::string_view key, std::string_view what)
+    {
+        if (complaint_.empty()) {
+            complaint_ = std::string(key) + ": " + std::string(what);
+        }
+    }
+    [[nodiscard]] const std::string &complaint() const
+    {
+        return complaint_;
+    }
+
+private:
+    const toml::table &root_;
+    std::string complaint_;
+};
+
+std::string hostPart(const std::string &endpoint)
+{
+    return endpoint.substr(0, endpoint.rfind(':'));
+}
+
+FleetSettings readSettings(Reader &reader)
+{
+    constexpr std::array<std::string_view, 4> levels = {"debug", "info", "warning", "error"};
+    FleetSettings settings;
+    settings.host.value = reader.text("host.ip");
+    settings.name = reader.text("host.name");
+    settings.region.value = reader.text("host.region");
+    settings.availabilityZone.value = reader.text("host.availability_zone");
+    settings.takesCallers = reader.flag("host.takes_callers");
+    settings.stores = reader.flag("host.stores");
+    if (settings.stores) {
+        settings.dataFolder = reader.text("host.data_folder");
+    }
+    settings.callerListen = reader.endpoint("listen.callers", settings.takesCallers);
+    settings.directoryListen = reader.endpoint("listen.directory", false);
+    settings.readinessListen = reader.endpoint("listen.readiness", false);
+    settings.controlListen = reader.endpoint("listen.control", settings.stores);
+    settings.metricsListen = reader.endpoint("listen.metrics", false);
+    settings.meshPort = reader.port("mesh.port");
+    settings.meshListen = settings.host.value + ":" + std::to_string(settings.meshPort);
+    settings.meshKey = reader.text("mesh.key");
+    settings.seeds = reader.endpoints("fleet.seeds");
+    settings.mayForm = reader.flag("fleet.may_form");
+    settings.answerTtl = reader.duration("fleet.answer_ttl_ms");
+    settings.stopGrace = reader.seconds("fleet.stop_grace_s");
+    settings.resultsKept = reader.seconds("fleet.results_kept_s");
+    settings.drainTime = reader.duration("fleet.drain_ms");
+    const std::string level = reader.text("log.level");
+    const auto found = std::ranges::find(levels, level);
+    if (found == levels.end()) {
+        reader.complain("log.level", "unknown value");
+    } else {
+        settings.logLevel = static_cast<LogLevel>(found - levels.begin());
+    }
+    if (!settings.takesCallers && !settings.stores) {
+        reader.complain("host", "neither takes callers nor stores");
+    }
+    return settings;
+}
+
+} // namespace
+
+Result<FleetSettings> parseFleetSettings(std::string_view text)
+{
+    try {
+        const toml::parse_result parsed = toml::parse(text);
+        if (!parsed) {
+            const toml::parse_error &error = parsed.error();
+            return fail(ResultCode::SettingsInvalid,
+                        "line " + std::to_string(error.source().begin.line) + ": "
+                            + std::string(error.description()));
+        }
+        Reader reader(parsed.table());
+        FleetSettings settings = readSettings(reader);
+        if (!reader.complaint().empty()) {
+            return fail(ResultCode::SettingsInvalid, reader.complaint());
+        }
+        return settings;
+    } catch (const std::logic_error &error) {
+        return fail(ResultCode::SettingsInvalid, error.what());
+    }
+}
+
+std::vector<HostId> seedHosts(const FleetSettings &settings)
+{
+    std::vector<HostId> hosts;
+    for (const std::string &seed : settings.seeds) {
+        hosts.push_back(HostId{hostPart(seed)});
+    }
+    std::ranges::sort(hosts);
+    return hosts;
+}
+
+} // namespace persimmonlb
--- /dev/null
+++ b/persimmonlb/fleetnode/fleetsettings.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "persimmonlb/base/clock.h"
+#include "persimmonlb/base/error.h"
+#include "persimmonlb/base/ids.h"
+#include "persimmonlb/base/logline.h"
+
+namespace persimmonlb
+{
+
+/// Checked settings of one process of a fleet that forms and heals itself. Immutable.
+struct FleetSettings {
+    HostId host; ///< The host's IP address: its name among our own processes.
+    std::string name; ///< As operators call it.
+    Region region;
+    AvailabilityZone availabilityZone;
+    bool takesCallers = false;
+    bool stores = false;
+    std::string dataFolder; ///< Hosts that store only.
+
+    std::string callerListen; ///< "ip:port" for callers.
+    std::string directoryListen; ///< "ip:port" for callers that ask where to connect.
+    std::string readinessListen; ///< "ip:port" for the question whether this host takes callers.
+    std::string controlListen; ///< "ip:port" for operators and backend servers.
+    std::string metricsListen; ///< "ip:port"; empty: none.
+
+    std::string meshListen;
+    std::string meshKey; ///< Shared by all our processes.
+    std::vector<std::string> seeds; ///< "ip:port" of control listeners of some storage hosts.
+    std::uint16_t meshPort = 0; ///< The same on every host.
+    bool mayForm = false; ///< The whole fleet starts for the first time.
+
+    Milliseconds answerTtl{0}; ///< Of an answer that says where to connect.
+    Milliseconds stopGrace{0}; ///< From the request to stop until the process is killed.
+    Milliseconds resultsKept{0}; ///< Bulk results stay readable for so long.
+    Milliseconds drainTime{0}; ///< A draining server must get no more requests after this.
+    LogLevel logLevel = LogLevel::Info;
+
+    bool operator==(const FleetSettings &) const = default;
+};
+
+/// Parses and checks a settings file's text (docs/SETTINGS.md). Errors: SettingsInvalid, with the
+/// key.
+Result<FleetSettings> parseFleetSettings(std::string_view text);
+
+/// Host ids of the seeds.
+std::vector<HostId> seedHosts(const FleetSettings &settings);
+
+} // namespace persimmonlb
--- /dev/null
+++ b/persimmonlb/fleetnode/gatewayrole.cpp
@@ -0,0 +1,205 @@
+#include "persimmonlb/fleetnode/gatewayrole.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "persimmonlb/base/logline.h"
+
+namespace persimmonlb
+{
+
+namespace
+{
+
+/// Fewer hosts in a caller's zone than this are joined by those of other zones.
+constexpr std::size_t leastHostsOfAZone = 2;
+/// Of the stop grace, kept for what is still being answered when the listener closes.
+constexpr Milliseconds lastAnswers{1600};
+/// Of the stop grace, never used: the process must end by itself before it is killed.
+constexpr Milliseconds exitMargin{300};
+/// For the leader to confirm that this host is no longer named; it may be unreachable.
+constexpr Milliseconds confirmation{700};
+/// Callers may keep an answer three times as long as it says.
+constexpr int answerLifetimes = 3;
+
+Milliseconds linger(const FleetSettings &settings)
+{
+    return std::min(settings.answerTtl * answerLifetimes, settings.stopGrace - lastAnswers);
+}
+
+} // namespace
+
+GatewayRole::GatewayRole(GatewayRoleDeps deps)
+    : deps_(std::move(deps))
+    , slots_(SlotClientOptions{.self = deps_.settings.host}, deps_.clock, deps_.random, slotHooks())
+    , relay_(RelayOptions{}, deps_.clock, deps_.random, slots_, deps_.metrics, relayHooks())
+    , drain_(linger(deps_.settings), deps_.clock, drainHooks())
+{
+}
+
+bool GatewayRole::isEngine(const ServiceName &service) const
+{
+    const RoutedService *known = routes_ ? routes_->findService(service) : nullptr;
+    return known != nullptr && known->isEngine;
+}
+
+SlotClientHooks GatewayRole::slotHooks()
+{
+    SlotClientHooks hooks;
+    hooks.request = [this](const HostId &to, const SlotRequest &request) {
+        return deps_.send(to, request);
+    };
+    hooks.end = [this](const HostId &to, const SlotEnd &end) {
+        return deps_.send(to, end);
+    };
+    hooks.held = [this](const HostId &to, const SlotsHeld &held) {
+        return deps_.send(to, held);
+    };
+    hooks.capacityOf = [this](const ServiceName &service) {
+        const RoutedService *known = routes_ ? routes_->findService(service) : nullptr;
+        return known == nullptr ? SlotCapacity{} : SlotCapacity{known->slots, known->cacheTokens};
+    };
+    hooks.isBrokered = [this](const ServiceName &service) {
+        return isEngine(service);
+    };
+    hooks.later = deps_.later;
+    return hooks;
+}
+
+RelayHooks GatewayRole::relayHooks()
+{
+    return RelayHooks{.codec = deps_.face.codec,
+                      .send =
+                          [this](const std::string &address, HttpRequest request,
+                                 Milliseconds deadline, HttpExchangeHooks hooks) {
+                              return deps_.client.start(address, std::move(request), deadline,
+                                                        std::move(hooks));
+                          },
+                      .isEngine =
+                          [this](const ServiceName &service) {
+                              return isEngine(service);
+                          }};
+}
+
+DrainHooks GatewayRole::drainHooks()
+{
+    return DrainHooks{
+        .withdraw = [] {},
+        .restore = [] {},
+        .withdrawalKnown = [this] { return !listedByLeader() || sinceDrain() > confirmation; },
+        .close = deps_.closeListener,
+        .idle =
+            [this] {
+                return deps_.listenerIdle() || sinceDrain() > deps_.settings.stopGrace - exitMargin;
+            },
+        .stopped = deps_.stopped};
+}
+
+Milliseconds GatewayRole::sinceDrain() const
+{
+    return std::chrono::duration_cast<Milliseconds>(deps_.clock.monotonic() - drainBegan_);
+}
+
+bool GatewayRole::listedByLeader() const
+{
+    return std::ranges::any_of(view_.entries, [this](const FleetEntry &entry) {
+        return entry.host == deps_.settings.host && !entry.draining;
+    });
+}
+
+void GatewayRole::viewChanged(const FleetView &view)
+{
+    view_ = view;
+    slots_.setView(view_);
+}
+
+void GatewayRole::routesChanged(std::shared_ptr<const RouteTable> routes)
+{
+    routes_ = std::move(routes);
+    slots_.setView(view_);
+}
+
+void GatewayRole::receive(const HostId &from, const PeerBody &body)
+{
+    if (const auto *grant = std::get_if<SlotGrant>(&body)) {
+        slots_.receive(from, *grant);
+        return;
+    }
+    if (const auto *refusal = std::get_if<SlotRefusal>(&body)) {
+        slots_.receive(from, *refusal);
+        return;
+    }
+    if (std::holds_alternative<LeaderBeat>(body)) {
+        slots_.brokerHeard(from);
+    }
+}
+
+void GatewayRole::hostLost(const HostId &host)
+{
+    slots_.brokerLost(host);
+}
+
+void GatewayRole::tick()
+{
+    slots_.tick();
+    relay_.tick();
+    drain_.tick();
+}
+
+void GatewayRole::beginDrain()
+{
+    if (drain_.stage() == DrainStage::Serving) {
+        drainBegan_ = deps_.clock.monotonic();
+        LogLine(LogLevel::Info, "draining")
+            .add("open", static_cast<std::int64_t>(relay_.openRequests()))
+            .write();
+        drain_.begin();
+    }
+}
+
+bool GatewayRole::isDraining() const
+{
+    return drain_.stage() != DrainStage::Serving;
+}
+
+bool GatewayRole::isReady() const
+{
+    return routes_ != nullptr && view_.term > 0 && !isDraining();
+}
+
+std::vector<std::string> GatewayRole::addressesFor(const AvailabilityZone &zone) const
+{
+    std::vector<std::string> near;
+    std::vector<std::string> far;
+    for (const FleetEntry &entry : view_.entries) {
+        const bool isSelf = entry.host == deps_.settings.host;
+        if (entry.draining || (isSelf && isDraining())) {
+            continue;
+        }
+        (entry.availabilityZone == zone ? near : far).push_back(entry.address);
+    }
+    if (near.size() < leastHostsOfAZone) {
+        near.insert(near.end(), far.begin(), far.end());
+    }
+    if (near.empty() && isReady()) {
+        near.push_back(deps_.settings.callerListen);
+    }
+    return near;
+}
+
+std::shared_ptr<const RouteTable> GatewayRole::routes() const
+{
+    return routes_;
+}
+
+void GatewayRole::relay(RelayRequest request, std::shared_ptr<HttpResponder> responder)
+{
+    relay_.relay(std::move(request), std::move(responder));
+}
+
+std::size_t GatewayRole::openRequests() const
+{
+    return relay_.openRequests();
+}
+
+} // namespace persimmonlb
--- /dev/null
+++ b/persimmonlb/fleetnode/gatewayrole.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "persimmonlb/base/clock.h"
+#include "persimmonlb/base/metrics.h"
+#include "persimmonlb/daemon/drain.h"
+#include "persimmonlb/fleet/fleetview.h"
+#include "persimmonlb/fleetnode/fleetface.h"
+#include "persimmonlb/fleetnode/fleetsettings.h"
+#include "persimmonlb/http/client.h"
+#include "persimmonlb/relay/relayservice.h"
+#include "persimmonlb/slots/slotclient.h"
+#include "persimmonlb/wire/message.h"
+
+namespace persimmonlb
+{
+
+struct GatewayRoleDeps {
+    const FleetSettings &settings;
+    const FleetFace &face;
+    Clock clock;
+    RandomSource random;
+    Metrics &metrics;
+    HttpClient &client;
+    std::function<bool(const HostId &to, PeerBody body)> send;
+    std::function<void(std::function<void()>)> later;
+    /// Stops listening for callers, and says what is still open.
+    std::function<void()> closeListener;
+    std::function<bool()> listenerIdle;
+    std::function<void()> stopped;
+};
+
+/// The part of an entry host that takes callers: knows the routes and the fleet, passes requests
+/// on, says where to connect, stops without cutting anybody off. Not thread-safe.
+class GatewayRole
+{
+public:
+    explicit GatewayRole(GatewayRoleDeps deps);
+    GatewayRole(const GatewayRole &) = delete;
+    GatewayRole &operator=(const GatewayRole &) = delete;
+
+    /// Takes a view that is newer than the one held.
+    void viewChanged(const FleetView &view);
+    void routesChanged(std::shared_ptr<const RouteTable> routes);
+    void receive(const HostId &from, const PeerBody &body);
+    void hostLost(const HostId &host);
+    void tick();
+    void beginDrain();
+
+    /// True when new callers are welcome.
+    [[nodiscard]] bool isReady() const;
+    [[nodiscard]] bool isDraining() const;
+    /// Addresses that a caller in this zone should use, this host's own when none is known.
+    [[nodiscard]] std::vector<std::string> addressesFor(const AvailabilityZone &zone) const;
+    /// Null before the first routes came.
+    [[nodiscard]] std::shared_ptr<const RouteTable> routes() const;
+    void relay(RelayRequest request, std::shared_ptr<HttpResponder> responder);
+    [[nodiscard]] std::size_t openRequests() const;
+
+private:
+    SlotClientHooks slotHooks();
+    RelayHooks relayHooks();
+    DrainHooks drainHooks();
+    [[nodiscard]] bool isEngine(const ServiceName &service) const;
+    [[nodiscard]] bool listedByLeader() const;
+    [[nodiscard]] Milliseconds sinceDrain() const;
+
+    GatewayRoleDeps deps_;
+    std::shared_ptr<const RouteTable> routes_;
+    FleetView view_;
+    SlotClient slots_;
+    RelayService relay_;
+    Drain drain_;
+    MonotonicTime drainBegan_;
+};
+
+} // namespace persimmonlb
--- /dev/null
+++ b/persimmonlb/fleetnode/groupcare.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "persimmonlb/agreement/agreement.h"
+#include "persimmonlb/base/clock.h"
+#include "persimmonlb/fleet/fleetregistry.h"
+
+namespace persimmonlb
+{
+
+struct GroupCareOptions {
+    /// A voter that says nothing for so long is replaced when an unused store is at hand. Above a
+    /// restart of the process, below the time between two losses that must be borne.
+    Milliseconds voterSilence{2500};
+    /// A store that was heard within this time can take part.
+    Milliseconds candidateAge{1000};
+};
+
+/// One change of the members that the leader should make now.
+struct MemberSwap {
+    HostId lost;
+    HostId fresh;
+
+    bool operator==(const MemberSwap &) const = default;
+};
+
+/// What the leader should do about the members of its group.
+struct GroupAdvice {
+    std::optional<MemberSwap> swap;
+    /// Hosts whose stores belong to the group no more, and the member ids they go by.
+    std::vector<std::pair<HostId, HostId>> removed;
+
+    bool operator==(const GroupAdvice &) const = default;
+};
+
+/// Keeps a group at its number of voters without an operator: a voter whose disk was replaced,
+/// that is silent or was asked to retire is replaced by an unused store. One change at a time; the
+/// number of voters never changes. Not thread-safe.
+class GroupCare
+{
+public:
+    GroupCare(GroupCareOptions options, Clock clock);
+
+    /// This host began to lead: every voter counts as heard just now.
+    void leadershipBegan(const GroupStatus &status);
+    GroupAdvice advise(const GroupStatus &status, const std::map<HostId, ReportedStore> &stores,
+                       const std::set<std::string> &retired);
+
+private:
+    [[nodiscard]] std::optional<HostId> lostVoter(const GroupStatus &status,
+                                                  const std::map<HostId, ReportedStore> &stores,
+                                                  const std::set<std::string> &retired) const;
+
+    GroupCareOptions options_;
+    Clock clock_;
+    std::map<HostId, MonotonicTime> heardAt_; ///< By member id.
+};
+
+/// The host part of a member id: "10.0.0.1" of "10.0.0.1#5f3a".
+HostId hostOfMember(const HostId &member);
+
+} // namespace persimmonlb
--- /dev/null
+++ b/persimmonlb/fleetnode/groupcare_test.cpp
@@ -0,0 +1,128 @@
+#include <boost/test/unit_test.hpp>
+
+#include "persimmonlb/fleetnode/groupcare.h"
+
+using namespace persimmonlb;
+
+namespace
+{
+
+struct Bench {
+    Bench()
+    {
+        for (const char *host : {"h1", "h2", "h3"}) {
+            status.members.push_back({.host = {host}, .voter = true, .matchIndex = 0});
+            hear(host, host, false);
+        }
+        care.leadershipBegan(status);
+    }
+
+    void hear(const std::string &host, const std::string &member, bool unused)
+    {
+        ReportedStore &store = stores[HostId{host}];
+        store.store.host = HostId{host};
+        store.store.name = "store-" + host;
+        store.member = HostId{member};
+        store.unused = unused;
+        store.heardAt = now;
+    }
+    /// Time passes while these hosts go on to report.
+    void pass(int ms, const std::vector<std::string> &heard)
+    {
+        now += Milliseconds(ms);
+        for (const std::string &host : heard) {
+            stores[HostId{host}].heardAt = now;
+        }
+    }
+    GroupAdvice advise()
+    {
+        return care.advise(status, stores, retired);
+    }
+
+    MonotonicTime now = MonotonicTime(Milliseconds(100000));
+    GroupStatus status;
+    std::map<HostId, ReportedStore> stores;
+    std::set<std::string> retired;
+    GroupCare care{GroupCareOptions{},
+                   Clock{.monotonic = [this] { return now; },
+                         .wall =
+                             [] {
+                                 return WallTime();
+                             }}};
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(GroupCareTest)
+
+BOOST_AUTO_TEST_CASE(ACompleteGroupIsLeftAlone)
+{
+    Bench bench;
+    bench.hear("h4", "h4#1", true);
+    BOOST_TEST((bench.advise() == GroupAdvice{}));
+}
+
+BOOST_AUTO_TEST_CASE(AReplacedDiskTakesThePlaceOfTheLostOneAtOnce)
+{
+    Bench bench;
+    bench.hear("h4", "h4#1", true);
+    bench.hear("h2", "h2#9", true);
+    const GroupAdvice advice = bench.advise();
+    BOOST_REQUIRE(advice.swap.has_value());
+    BOOST_TEST(advice.swap->lost.value == "h2");
+    BOOST_TEST(advice.swap->fresh.value == "h2#9");
+    BOOST_TEST(advice.removed.empty());
+}
+
+BOOST_AUTO_TEST_CASE(ASilentVoterIsReplacedOnlyByAnUnusedStore)
+{
+    Bench bench;
+    bench.pass(2600, {"h1", "h3"});
+    BOOST_TEST(!bench.advise().swap.has_value());
+    bench.hear("h4", "h4#1", true);
+    const GroupAdvice advice = bench.advise();
+    BOOST_REQUIRE(advice.swap.has_value());
+    BOOST_TEST(advice.swap->lost.value == "h2");
+    BOOST_TEST(advice.swap->fresh.value == "h4#1");
+}
+
+BOOST_AUTO_TEST_CASE(OneChangeAtATime)
+{
+    Bench bench;
+    bench.hear("h2", "h2#9", true);
+    bench.status.changeInProgress = true;
+    BOOST_TEST((bench.advise() == GroupAdvice{}));
+}
+
+BOOST_AUTO_TEST_CASE(AStoreThatWasReplacedIsToldSo)
+{
+    Bench bench;
+    bench.hear("h4", "h4", false);
+    const GroupAdvice advice = bench.advise();
+    BOOST_REQUIRE_EQUAL(advice.removed.size(), 1U);
+    BOOST_TEST(advice.removed[0].second.value == "h4");
+}
+
+BOOST_AUTO_TEST_CASE(ARetiredVoterLeavesAndIsNoCandidateAgain)
+{
+    Bench bench;
+    bench.retired.insert("store-h3");
+    BOOST_TEST(!bench.advise().swap.has_value());
+    bench.hear("h4", "h4#1", true);
+    const GroupAdvice advice = bench.advise();
+    BOOST_REQUIRE(advice.swap.has_value());
+    BOOST_TEST(advice.swap->lost.value == "h3");
+    bench.retired.insert("store-h4");
+    BOOST_TEST(!bench.advise().swap.has_value());
+}
+
+BOOST_AUTO_TEST_CASE(ANewLeaderWaitsBeforeItCallsAVoterSilent)
+{
+    Bench bench;
+    bench.pass(10000, {"h1"});
+    bench.care.leadershipBegan(bench.status);
+    bench.hear("h4", "h4#1", true);
+    BOOST_TEST(!bench.advise().swap.has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/persimmonlb/fleetnode/storagerole.h
@@ -0,0 +1,124 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "persimmonlb/base/clock.h"
+#include "persimmonlb/base/error.h"
+#include "persimmonlb/base/metrics.h"
+#include "persimmonlb/bulk/bulkrunner.h"
+#include "persimmonlb/daemon/controlrole.h"
+#include "persimmonlb/fleet/fleetregistry.h"
+#include "persimmonlb/fleetnode/fleetface.h"
+#include "persimmonlb/fleetnode/fleetsettings.h"
+#include "persimmonlb/fleetnode/groupcare.h"
+#include "persimmonlb/fleetnode/memberidentity.h"
+#include "persimmonlb/http/client.h"
+#include "persimmonlb/slots/slotbroker.h"
+#include "persimmonlb/wire/message.h"
+
+namespace persimmonlb
+{
+
+struct StorageRoleDeps {
+    const FleetSettings &settings;
+    const FleetFace &face;
+    Clock clock;
+    RandomSource random;
+    Metrics &metrics;
+    HttpClient &client;
+    /// Sends to a host as the member `from`, to the member `to` of the group.
+    std::function<bool(const HostId &from, const HostId &to, PeerBody body)> sendToMember;
+    std::function<bool(const HostId &to, PeerBody body)> send;
+    /// Sends to every connected host, this one included.
+    std::function<void(const PeerBody &body)> sendToAll;
+    std::function<void(std::function<void()>)> post;
+    std::function<void(Milliseconds delay, std::function<void()> fn)> after;
+    /// The view that was last taken from a leader.
+    std::function<const FleetView &()> lastView;
+};
+
+/// The part of a storage host: a member of the replicated group, and, while it leads, the authority
+/// for servers, entry hosts, slots and bulk runs. Forms the group and replaces lost members without
+/// an operator. Not thread-safe.
+class StorageRole
+{
+public:
+    explicit StorageRole(StorageRoleDeps deps);
+    StorageRole(const StorageRole &) = delete;
+    StorageRole &operator=(const StorageRole &) = delete;
+    ~StorageRole();
+
+    /// Errors: DataFolderUnusable.
+    Result<void> start();
+    void stop();
+    void tick();
+    void receive(const HostId &from, const HostId &fromMember, const HostId &toMember,
+                 const PeerBody &body);
+    void hostLost(const HostId &host);
+
+    /// Takes a server's announcement, here or at the leader. `taken` is false while no leader is
+    /// known or it does not answer.
+    void announce(const ServerNotice &notice, std::function<void(bool taken)> done);
+    /// Asks a storage host to leave. Errors: NotFound, BelowMinimumReady, NotLeader, NoQuorum.
+    void retire(const std::string &name, std::function<void(Outcome<Done>)> done);
+    /// True once the host is no member any more. Errors: NotFound, NotLeader.
+    [[nodiscard]] Outcome<bool> isRetired(const std::string &name) const;
+
+    [[nodiscard]] bool isLeader() const;
+    /// Host that leads, as known here, or empty.
+    [[nodiscard]] HostId leader() const;
+    /// What this host reports of itself as a store.
+    void fillReport(HostReport &report) const;
+
+private:
+    struct PendingNotice {
+        std::function<void(bool)> done;
+        MonotonicTime deadline;
+    };
+
+    Result<void> startControl();
+    void restartControl(Milliseconds delay);
+    void giveUpStore();
+    void leadershipChanged(bool leads);
+    void leaderTick();
+    void careForGroup();
+    void pushView();
+    void pushRoutes();
+    void serversChanged();
+    void takeReport(const HostId &from, const HostReport &report);
+    void takeNotice(const HostId &from, const ServerNotice &notice);
+    bool applyNotice(const ServerNotice &notice);
+    [[nodiscard]] FleetView makeView() const;
+    [[nodiscard]] SlotCapacity capacityOf(const ServiceName &service) const;
+    /// The routes in force, parsed when they have changed.
+    std::shared_ptr<const RouteTable> routes();
+    [[nodiscard]] bool isKnownStore(const std::string &name) const;
+    SlotBrokerHooks brokerHooks();
+    BulkRunnerHooks runnerHooks();
+
+    StorageRoleDeps deps_;
+    MemberIdentity identity_;
+    std::unique_ptr<ControlRole> control_;
+    bool running_ = false;
+    bool formationTried_ = false;
+    FleetRegistry registry_;
+    GroupCare care_;
+    SlotBroker broker_;
+    BulkRunner runner_;
+    std::shared_ptr<const RouteTable> routes_;
+    std::uint64_t pushedRegistry_ = 0;
+    std::uint64_t pushedRoutes_ = 0;
+    bool leads_ = false;
+    MonotonicTime nextCare_;
+    std::uint64_t nextNotice_ = 1;
+    std::map<std::uint64_t, PendingNotice> notices_;
+};
+
+} // namespace persimmonlb
