--- a/persimmonlb/fleetnode/storagerole.cpp
+++ b/persimmonlb/fleetnode/storagerole.cpp
@@ -247,7 +247,13 @@
 void StorageRole::takeReport(const HostId &from, const HostReport &report)
 {
     registry_.report(from, report);
+    const auto reported = std::pair(report.viewTerm, report.viewVersion);
     if (!leads_) {
+        // A host that knows the seeds alone learns from any of them who leads, and where.
+        const FleetView &view = deps_.lastView();
+        if (reported < std::pair(view.term, view.version)) {
+            deps_.send(from, view);
+        }
         return;
     }
     const std::uint64_t term = control_->status().term;
@@ -256,7 +262,7 @@
     if (report.routesVersion < routes.version) {
         deps_.send(from, RoutesPush{routes.version, routes.text});
     }
-    if (std::pair(report.viewTerm, report.viewVersion) < std::pair(term, registry_.version())) {
+    if (reported < std::pair(term, registry_.version())) {
         deps_.send(from, makeView());
     }
 }
