--- /dev/null
+++ b/persimmonlb/fleetnode/fleetnode_test.cpp
@@ -0,0 +1,99 @@
+#include <boost/test/unit_test.hpp>
+
+#include "persimmonlb/fleetnode/testing/loopbackfleet.h"
+
+using namespace persimmonlb;
+using persimmonlb::testing::LoopbackFleet;
+
+namespace
+{
+
+PutRoutes routes(std::uint64_t version)
+{
+    return PutRoutes{version, std::to_string(version), WallTime()};
+}
+
+void formGroup(LoopbackFleet &fleet)
+{
+    for (const int number : {2, 3, 4}) {
+        fleet.startStore(number, true);
+    }
+    BOOST_REQUIRE(fleet.runUntil([&fleet] { return fleet.leader() != 0; }));
+}
+
+/// A storage host of the group that does not lead, other than `other`.
+int follower(const LoopbackFleet &fleet, int other = 0)
+{
+    for (const int number : {2, 3, 4}) {
+        if (number != fleet.leader() && number != other) {
+            return number;
+        }
+    }
+    return 0;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(FleetNodeTest)
+
+BOOST_AUTO_TEST_CASE(AGroupFormsFromItsSeedsAndRoutesReachEntryHosts)
+{
+    LoopbackFleet fleet;
+    fleet.startEntry(9);
+    formGroup(fleet);
+    BOOST_REQUIRE(fleet.propose(9, routes(7)));
+    GatewayRole &gateway = *fleet.node(9).gateway();
+    BOOST_TEST(fleet.runUntil([&gateway] { return gateway.isReady(); }));
+    BOOST_TEST(gateway.routes()->version() == 7U);
+}
+
+BOOST_AUTO_TEST_CASE(AnEntryHostFindsALeaderThatIsNoSeedOfIt)
+{
+    LoopbackFleet fleet;
+    formGroup(fleet);
+    BOOST_REQUIRE(fleet.propose(fleet.leader(), routes(7)));
+    fleet.setSeeds({follower(fleet)});
+    fleet.startEntry(9);
+    BOOST_TEST(fleet.runUntil([&fleet] { return fleet.node(9).gateway()->isReady(); }));
+}
+
+BOOST_AUTO_TEST_CASE(AWipedStoreJoinsAgainSoThatTheNextLossIsBorne)
+{
+    LoopbackFleet fleet;
+    formGroup(fleet);
+    BOOST_REQUIRE(fleet.propose(fleet.leader(), routes(7)));
+    const int lost = follower(fleet);
+    const int other = follower(fleet, lost);
+    const int leader = fleet.leader();
+    fleet.kill(lost);
+    fleet.wipe(lost);
+    fleet.startStore(lost, false);
+    const auto joined = [&] {
+        HostReport report;
+        fleet.node(lost).storage()->fillReport(report);
+        return !report.unused && fleet.leader() == leader
+            && fleet.node(lost).storage()->leader() == fleet.node(leader).settings().host;
+    };
+    BOOST_REQUIRE(fleet.runUntil(joined));
+    BOOST_REQUIRE(fleet.propose(leader, routes(8)));
+    fleet.kill(other);
+    BOOST_TEST(fleet.propose(leader, routes(9)));
+}
+
+BOOST_AUTO_TEST_CASE(RestartedHostsKeepWhatWasAcknowledged)
+{
+    LoopbackFleet fleet;
+    formGroup(fleet);
+    BOOST_REQUIRE(fleet.propose(fleet.leader(), routes(7)));
+    for (const int number : {2, 3, 4}) {
+        fleet.kill(number);
+    }
+    for (const int number : {2, 3, 4}) {
+        fleet.startStore(number, false);
+    }
+    fleet.startEntry(9);
+    BOOST_REQUIRE(fleet.runUntil([&fleet] { return fleet.node(9).gateway()->isReady(); }));
+    BOOST_TEST(fleet.node(9).gateway()->routes()->version() == 7U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/persimmonlb/fleetnode/testing/loopbackfleet.cpp
@@ -0,0 +1,206 @@
+#include "persimmonlb/fleetnode/testing/loopbackfleet.h"
+
+#include <chrono>
+#include <cstdlib>
+#include <stdexcept>
+#include <thread>
+#include <utility>
+
+#include <boost/asio/ip/tcp.hpp>
+
+namespace persimmonlb::testing
+{
+
+namespace
+{
+
+/// A port that is free on 127.0.0.1 now, and so most likely on the other loopback addresses.
+std::uint16_t freePort()
+{
+    boost::asio::io_context context;
+    const boost::asio::ip::tcp::acceptor acceptor(context,
+                                                  {boost::asio::ip::make_address("127.0.0.1"), 0});
+    return acceptor.local_endpoint().port();
+}
+
+std::filesystem::path makeFolder()
+{
+    std::string pattern = (std::filesystem::temp_directory_path() / "fleet-XXXXXX").string();
+    if (::mkdtemp(pattern.data()) == nullptr) {
+        throw std::runtime_error("no temporary folder");
+    }
+    return pattern;
+}
+
+std::string hostName(int number)
+{
+    return "127.0.0." + std::to_string(number);
+}
+
+/// Routes written as "VERSION": one safe route to the service "plain".
+Outcome<RouteTable> parseRoutes(std::string_view text)
+{
+    Route route;
+    route.name = "r";
+    route.host = "a.example";
+    route.pathPrefix = "/";
+    route.kind = RouteKind::Safe;
+    route.timeout = Milliseconds(1000);
+    route.services = {{ServiceName{"plain"}, 1}};
+    RoutedService service;
+    service.name = ServiceName{"plain"};
+    return capture([&] {
+        return RouteTable::make(std::strtoull(std::string(text).c_str(), nullptr, 10), {route},
+                                {service}, {});
+    });
+}
+
+FleetFace makeFace(FleetNode & /*node*/)
+{
+    const HttpHandler none = [](const HttpRequest &, const std::shared_ptr<HttpResponder> &) {
+    };
+    FleetFace face;
+    face.codec.encode = [](const HttpRequest &request, const RelayAttempt &) {
+        return request;
+    };
+    face.codec.classify = [](const std::string &, const HttpResponseHead &) {
+        return AnswerClass::Success;
+    };
+    face.codec.refusal = [](const std::string &, const Error &) {
+        return HttpResponse{503, {}, {}};
+    };
+    face.parseRoutes = parseRoutes;
+    face.itemRequest = [](const std::string &, const BulkItemSpec &) {
+        return HttpRequest();
+    };
+    face.callers = none;
+    face.directory = none;
+    face.readiness = none;
+    face.control = none;
+    return face;
+}
+
+} // namespace
+
+LoopbackFleet::LoopbackFleet()
+    : folder_(makeFolder())
+    , meshPort_(freePort())
+{
+}
+
+LoopbackFleet::~LoopbackFleet()
+{
+    processes_.clear();
+    std::error_code ignored;
+    std::filesystem::remove_all(folder_, ignored);
+}
+
+FleetSettings LoopbackFleet::settingsFor(int number) const
+{
+    FleetSettings settings;
+    settings.host = HostId{hostName(number)};
+    settings.name = "host-" + std::to_string(number);
+    settings.region = Region{"r"};
+    settings.availabilityZone = AvailabilityZone{"z"};
+    settings.meshPort = meshPort_;
+    settings.meshListen = hostName(number) + ":" + std::to_string(meshPort_);
+    settings.meshKey = "key";
+    for (const int seed : seeds_) {
+        settings.seeds.push_back(hostName(seed) + ":1");
+    }
+    settings.answerTtl = Milliseconds(100);
+    settings.stopGrace = Milliseconds(2000);
+    settings.resultsKept = Milliseconds(60000);
+    settings.drainTime = Milliseconds(2000);
+    return settings;
+}
+
+void LoopbackFleet::startStore(int number, bool mayForm)
+{
+    FleetSettings settings = settingsFor(number);
+    settings.stores = true;
+    settings.mayForm = mayForm;
+    settings.dataFolder = (folder_ / std::to_string(number)).string();
+    settings.controlListen = hostName(number) + ":0";
+    start(number, std::move(settings));
+}
+
+void LoopbackFleet::startEntry(int number)
+{
+    FleetSettings settings = settingsFor(number);
+    settings.takesCallers = true;
+    settings.callerListen = hostName(number) + ":0";
+    start(number, std::move(settings));
+}
+
+void LoopbackFleet::start(int number, FleetSettings settings)
+{
+    auto process = std::make_unique<Process>();
+    process->stores = settings.stores;
+    process->node = std::make_unique<FleetNode>(process->context, std::move(settings), makeFace);
+    const Outcome<Done> started = capture([&] { return process->node->start(); });
+    if (!started.ok()) {
+        throw std::runtime_error(started.error().message);
+    }
+    processes_[number] = std::move(process);
+}
+
+void LoopbackFleet::kill(int number)
+{
+    // The node goes first: its sockets belong to the context.
+    processes_.at(number)->node.reset();
+    processes_.erase(number);
+}
+
+void LoopbackFleet::wipe(int number)
+{
+    std::filesystem::remove_all(folder_ / std::to_string(number));
+}
+
+void LoopbackFleet::setSeeds(std::vector<int> seeds)
+{
+    seeds_ = std::move(seeds);
+}
+
+FleetNode &LoopbackFleet::node(int number)
+{
+    return *processes_.at(number)->node;
+}
+
+int LoopbackFleet::leader() const
+{
+    for (const auto &[number, process] : processes_) {
+        if (process->stores && process->node->storage()->isLeader()) {
+            return number;
+        }
+    }
+    return 0;
+}
+
+bool LoopbackFleet::runUntil(const std::function<bool()> &done)
+{
+    constexpr std::chrono::seconds limit{20};
+    constexpr std::chrono::milliseconds pause{1};
+    const auto end = std::chrono::steady_clock::now() + limit;
+    while (std::chrono::steady_clock::now() < end) {
+        for (const auto &[number, process] : processes_) {
+            process->context.poll();
+        }
+        if (done()) {
+            return true;
+        }
+        std::this_thread::sleep_for(pause);
+    }
+    return false;
+}
+
+bool LoopbackFleet::propose(int through, const Command &command)
+{
+    std::optional<bool> taken;
+    node(through).control().propose(command,
+                                    [&taken](const Outcome<Reply> &reply) { taken = reply.ok(); });
+    runUntil([&taken] { return taken.has_value(); });
+    return taken.value_or(false);
+}
+
+} // namespace persimmonlb::testing
--- /dev/null
+++ b/persimmonlb/fleetnode/testing/loopbackfleet.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include <cstdint>
+#include <filesystem>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+
+#include "persimmonlb/fleetnode/fleetnode.h"
+
+namespace persimmonlb::testing
+{
+
+/// Fleet nodes in one process, each with an address of its own in 127.0.0.0/8.
+///
+/// Example:
+///   LoopbackFleet fleet;
+///   fleet.startStore(2, true);
+///   BOOST_REQUIRE(fleet.runUntil([&] { return fleet.leader() != 0; }));
+class LoopbackFleet
+{
+public:
+    LoopbackFleet();
+    ~LoopbackFleet();
+    LoopbackFleet(const LoopbackFleet &) = delete;
+    LoopbackFleet &operator=(const LoopbackFleet &) = delete;
+
+    /// Starts the storage host 127.0.0.`number` with the data folder it had.
+    void startStore(int number, bool mayForm);
+    void startEntry(int number);
+    /// Ends a node without a planned stop.
+    void kill(int number);
+    void wipe(int number);
+    /// Hosts that nodes started from now on are told; 2, 3 and 4 at first.
+    void setSeeds(std::vector<int> seeds);
+
+    [[nodiscard]] FleetNode &node(int number);
+    /// Number of the storage host that leads, or 0.
+    [[nodiscard]] int leader() const;
+    /// Lets every node work until `done` or some twenty seconds have passed.
+    bool runUntil(const std::function<bool()> &done);
+    /// Proposes through a node and waits; false when it was not taken.
+    bool propose(int through, const Command &command);
+
+private:
+    struct Process {
+        boost::asio::io_context context;
+        std::unique_ptr<FleetNode> node;
+        bool stores = false;
+    };
+
+    void start(int number, FleetSettings settings);
+    [[nodiscard]] FleetSettings settingsFor(int number) const;
+
+    std::filesystem::path folder_;
+    std::uint16_t meshPort_;
+    std::vector<int> seeds_{2, 3, 4};
+    std::map<int, std::unique_ptr<Process>> processes_;
+};
+
+} // namespace persimmonlb::testing
