Items go on where another leader left them; elections within 0.7 s; near servers first

Change: runs save what they have each second; the leader keeps the servers it knows in the replicated state; election timeout 400 to 700 ms; equals are chosen by lot, servers in the caller's zone before others. Ruled out: shorter reports of servers (their interval is the platform's).

--- a/persimmonlb/bulk/bulkrunner.cpp
+++ b/persimmonlb/bulk/bulkrunner.cpp
@@ -141,7 +141,7 @@
         progress_[key].notBefore = clock_.monotonic() + options_.failurePause;
         return false;
     }
-    Progress &progress = progress_[key];
+    Progress &progress = progressOf(table, key);
     progress.events.reopen();
     const std::uint64_t number = nextRun_++;
     HttpRequest request
@@ -163,6 +163,22 @@
     return true;
 }
 
+BulkRunner::Progress &BulkRunner::progressOf(const BulkTable &table, const Key &key)
+{
+    Progress &progress = progress_[key];
+    if (progress.count > 0) {
+        return progress;
+    }
+    if (const auto saved = table.progress(key.job, key.index)) {
+        progress.events = EventReader(saved->lastEventId);
+        progress.output = saved->output;
+        progress.count = saved->count;
+        progress.savedCount = saved->count;
+        progress.savedBytes = saved->output.size();
+    }
+    return progress;
+}
+
 // ---- one run ----------------------------------------------------------------------------------
 
 BulkRunner::Run *BulkRunner::find(const Key &key, std::uint64_t number)
@@ -407,6 +423,10 @@
     }
     abandonOld(*table);
     const MonotonicTime now = clock_.monotonic();
+    if (now >= nextSave_) {
+        nextSave_ = now + options_.saveInterval;
+        saveProgress();
+    }
     std::vector<Key> silent;
     for (const auto &[key, run] : runs_) {
         if (now - run.progressAt > options_.eventPatience) {
@@ -427,6 +447,45 @@
     }
 }
 
+void BulkRunner::saveProgress()
+{
+    SaveBulkProgress command;
+    command.at = clock_.wall();
+    std::vector<Key> keys;
+    for (auto &[key, progress] : progress_) {
+        const bool enough = progress.count >= progress.savedCount + options_.leastEventsToSave;
+        if (!enough || unrecorded_.contains(key) || !progress.events.lastId()) {
+            continue;
+        }
+        keys.push_back(key);
+        command.parts.push_back({.id = key.job,
+                                 .index = key.index,
+                                 .fromCount = progress.savedCount,
+                                 .count = progress.count,
+                                 .lastEventId = *progress.events.lastId(),
+                                 .output = progress.output.substr(progress.savedBytes)});
+        progress.savedCount = progress.count;
+        progress.savedBytes = progress.output.size();
+    }
+    if (command.parts.empty()) {
+        return;
+    }
+    const std::weak_ptr<bool> alive = alive_;
+    hooks_.propose(command, [this, alive, keys](const Outcome<Reply> &reply) {
+        if (alive.expired() || reply.ok()) {
+            return;
+        }
+        // Whether it was saved is not known: the next time everything is.
+        for (const Key &key : keys) {
+            const auto found = progress_.find(key);
+            if (found != progress_.end()) {
+                found->second.savedCount = 0;
+                found->second.savedBytes = 0;
+            }
+        }
+    });
+}
+
 void BulkRunner::dropEnded(const BulkTable &table)
 {
     const auto isOver = [&table](const Key &key) {
--- a/persimmonlb/bulk/bulkrunner.h
+++ b/persimmonlb/bulk/bulkrunner.h
@@ -37,6 +37,9 @@
     Milliseconds recordRetry{500};
     /// An item is given up this much later than allowed, against clocks that differ.
     Milliseconds abandonMargin{300};
+    /// What runs have produced is saved this often, if it is at least so many events.
+    Milliseconds saveInterval{1000};
+    std::uint64_t leastEventsToSave = 24;
     std::size_t maxStartsAtOnce = 16;
 };
 
@@ -57,7 +60,8 @@
 ///
 /// A run may be ended at any event; the item goes on behind that event later, on any server. Items
 /// that are due first come first; those that can no longer be in time come after those that can.
-/// What an item has so far is kept in memory only: another leader starts it anew. Not thread-safe.
+/// What items have so far is saved now and then, so that another leader goes on there. Not
+/// thread-safe.
 class BulkRunner
 {
 public:
@@ -92,6 +96,8 @@
         EventReader events;
         std::string output;
         std::uint64_t count = 0; ///< Events so far.
+        std::uint64_t savedCount = 0; ///< Of these, saved in the replicated state.
+        std::size_t savedBytes = 0; ///< Of `output`.
         MonotonicTime notBefore;
     };
     struct Run {
@@ -127,6 +133,8 @@
     void completed(const Key &key);
     void record(const Key &key, BulkItemPhase phase, std::string output, std::string_view why);
     void propose(const Key &key);
+    Progress &progressOf(const BulkTable &table, const Key &key);
+    void saveProgress();
     void dropEnded(const BulkTable &table);
     void abandonOld(const BulkTable &table);
     void noteSpeed(const Run &run, const Progress &progress);
@@ -140,6 +148,7 @@
     std::map<Key, Progress> progress_;
     std::map<Key, BulkOutcome> unrecorded_; ///< Ended here, not yet in the replicated state.
     std::map<Key, MonotonicTime> proposeAgain_;
+    MonotonicTime nextSave_;
     std::uint64_t seenVersion_ = 0;
     std::uint64_t nextRun_ = 1;
     double eventsPerItem_;
--- a/persimmonlb/bulk/bulktable.cpp
+++ b/persimmonlb/bulk/bulktable.cpp
@@ -111,6 +111,7 @@
         }
         item.phase
             = outcome.phase == BulkItemPhase::Waiting ? BulkItemPhase::DeadLettered : outcome.phase;
+        changes.push_back({keys::bulkProgress(command.id, outcome.index), std::nullopt});
         const BulkResult result{.id = item.id, .phase = item.phase, .output = outcome.output};
         changes.push_back({keys::bulkResult(command.id, job.listed), encodeFields(result)});
         ++job.listed;
@@ -132,6 +133,27 @@
     return {};
 }
 
+void BulkTable::saveProgress(const SaveBulkProgress &command, MutationList &changes)
+{
+    for (const BulkProgress &part : command.parts) {
+        const auto job = jobs_.find(part.id);
+        if (job == jobs_.end() || !job->second.isOpen() || part.index >= job->second.items.size()
+            || job->second.items[part.index].phase != BulkItemPhase::Waiting) {
+            continue;
+        }
+        BulkProgress saved = part;
+        if (part.fromCount > 0) {
+            const auto before = progress(part.id, part.index);
+            if (!before || before->count != part.fromCount) {
+                continue;
+            }
+            saved.output = before->output + part.output;
+            saved.fromCount = 0;
+        }
+        changes.push_back({keys::bulkProgress(part.id, part.index), encodeFields(saved)});
+    }
+}
+
 void BulkTable::expire(WallTime at, MutationList &changes)
 {
     for (auto position = jobs_.begin(); position != jobs_.end();) {
@@ -143,6 +165,7 @@
         for (std::uint32_t part = 0; part < job.items.size(); ++part) {
             changes.push_back({keys::bulkItem(id, part), std::nullopt});
             changes.push_back({keys::bulkResult(id, part), std::nullopt});
+            changes.push_back({keys::bulkProgress(id, part), std::nullopt});
         }
         changes.push_back({keys::bulkJob(id), std::nullopt});
         ++version_;
@@ -211,6 +234,19 @@
     return std::move(decoded.value());
 }
 
+std::optional<BulkProgress> BulkTable::progress(const JobId &id, std::uint32_t index) const
+{
+    const auto stored = store_.get(keys::bulkProgress(id, index));
+    if (!stored) {
+        return std::nullopt;
+    }
+    auto decoded = decodeFields<BulkProgress>(*stored);
+    if (!decoded.ok()) {
+        return std::nullopt;
+    }
+    return std::move(decoded.value());
+}
+
 std::uint64_t BulkTable::version() const
 {
     return version_;
--- a/persimmonlb/bulk/bulktable.h
+++ b/persimmonlb/bulk/bulktable.h
@@ -57,6 +57,8 @@
     PlainReply accept(const AcceptBulk &command, MutationList &changes);
     PlainReply record(const RecordBulk &command, MutationList &changes);
     PlainReply end(const EndBulk &command, MutationList &changes);
+    /// Parts that do not follow what is saved are dropped.
+    void saveProgress(const SaveBulkProgress &command, MutationList &changes);
     void expire(WallTime at, MutationList &changes);
 
     [[nodiscard]] BulkPage page(const BulkPageQuery &query) const;
@@ -64,6 +66,8 @@
     [[nodiscard]] const std::map<JobId, BulkJob> &jobs() const;
     /// An item as submitted, or nothing.
     [[nodiscard]] std::optional<BulkItemSpec> spec(const JobId &id, std::uint32_t index) const;
+    /// What was saved of an item without a result; nothing of it is in `fromCount`.
+    [[nodiscard]] std::optional<BulkProgress> progress(const JobId &id, std::uint32_t index) const;
     /// Rises with every change.
     [[nodiscard]] std::uint64_t version() const;
 
--- a/persimmonlb/bulk/bulktable_test.cpp
+++ b/persimmonlb/bulk/bulktable_test.cpp
@@ -135,6 +135,29 @@
     BOOST_TEST(!bench.table.body({.id = jobId, .item = "i1"}).found);
 }
 
+BOOST_AUTO_TEST_CASE(ProgressGrowsOnlyBehindWhatIsSaved)
+{
+    Bench bench;
+    bench.run(&BulkTable::accept, makeJob(jobId, 1));
+    const auto save = [&bench](std::uint64_t from, std::uint64_t count, const std::string &output) {
+        MutationList changes;
+        bench.table.saveProgress(SaveBulkProgress{{{jobId, 0, from, count, count, output}}, noon},
+                                 changes);
+        bench.write(changes);
+    };
+    save(0, 2, "a\nb");
+    save(2, 3, "\nc");
+    save(2, 4, "\nc\nd");
+    const auto saved = bench.table.progress(jobId, 0);
+    BOOST_REQUIRE(saved.has_value());
+    BOOST_TEST(saved->output == "a\nb\nc");
+    BOOST_TEST(saved->count == 3U);
+    bench.record(0, BulkItemPhase::Completed, "a\nb\nc\nd");
+    BOOST_TEST(!bench.table.progress(jobId, 0).has_value());
+    save(0, 1, "late");
+    BOOST_TEST(!bench.table.progress(jobId, 0).has_value());
+}
+
 BOOST_AUTO_TEST_CASE(BodiesComeBackByteForByte)
 {
     Bench bench;
--- a/persimmonlb/daemon/controlrole.cpp
+++ b/persimmonlb/daemon/controlrole.cpp
@@ -23,6 +23,7 @@
 {
     AgreementOptions options;
     options.self = deps.member;
+    options.timeouts = deps.timeouts;
     options.limits.compactAfterEntries = deps.snapshotEntries;
     options.limits.retainedEntries = deps.snapshotEntries / retainedShare;
     return options;
--- a/persimmonlb/daemon/controlrole.h
+++ b/persimmonlb/daemon/controlrole.h
@@ -20,6 +20,7 @@
     std::string dataFolder;
     std::uint64_t snapshotEntries = 0; ///< Log entries after which the log is compacted.
     Milliseconds lease{0}; ///< Of an entry host.
+    AgreementTimeouts timeouts = {};
     Clock clock;
     RandomSource random;
     /// Sends to a host, this one included.
--- a/persimmonlb/daemon/node.cpp
+++ b/persimmonlb/daemon/node.cpp
@@ -214,6 +214,7 @@
             .dataFolder = settings.host.dataFolder,
             .snapshotEntries = settings.control.snapshotEntries,
             .lease = settings.control.lease,
+            .timeouts = {},
             .clock = clock,
             .random = random,
             .send = [this](const HostId &to, PeerBody body) { return send(to, std::move(body)); },
--- a/persimmonlb/fleet/fleetview.h
+++ b/persimmonlb/fleet/fleetview.h
@@ -129,6 +129,7 @@
 struct SlotRequest {
     std::uint64_t ticket = 0; ///< Chosen by the entry host, unique in its life.
     ServiceName service;
+    AvailabilityZone availabilityZone; ///< Of the entry host.
     std::uint32_t priority = 0; ///< 0 is the highest.
     std::uint64_t startWithinMs = 0; ///< To meet the objective.
     std::uint64_t giveUpAfterMs = 0; ///< The caller is gone then.
--- a/persimmonlb/fleetnode/gatewayrole.cpp
+++ b/persimmonlb/fleetnode/gatewayrole.cpp
@@ -32,7 +32,8 @@
 GatewayRole::GatewayRole(GatewayRoleDeps deps)
     : deps_(std::move(deps))
     , slots_(SlotClientOptions{.self = deps_.settings.host}, deps_.clock, deps_.random, slotHooks())
-    , relay_(RelayOptions{}, deps_.clock, deps_.random, slots_, deps_.metrics, relayHooks())
+    , relay_(RelayOptions{.availabilityZone = deps_.settings.availabilityZone}, deps_.clock,
+             deps_.random, slots_, deps_.metrics, relayHooks())
     , drain_(linger(deps_.settings), deps_.clock, drainHooks())
 {
 }
--- a/persimmonlb/fleetnode/storagerole.cpp
+++ b/persimmonlb/fleetnode/storagerole.cpp
@@ -18,6 +18,19 @@
 constexpr std::uint64_t snapshotEntries = 20000; ///< Some minutes of a busy group.
 constexpr Milliseconds entryLease{5000}; ///< Of hosts that use sheets; unused with routes.
 
+/// One zone apart, hosts hear each other within some milliseconds; a host whose processor is
+/// rationed may stand still for a tenth of a second. Callers wait out an election.
+AgreementTimeouts groupTimeouts()
+{
+    AgreementTimeouts timeouts;
+    timeouts.heartbeat = Milliseconds(70);
+    timeouts.electionTimeoutMin = Milliseconds(400);
+    timeouts.electionTimeoutMax = Milliseconds(700);
+    timeouts.leaderLease = Milliseconds(330);
+    timeouts.checkQuorum = Milliseconds(700);
+    return timeouts;
+}
+
 } // namespace
 
 StorageRole::StorageRole(StorageRoleDeps deps)
@@ -82,6 +95,7 @@
     deps.dataFolder = identity_.storeFolder;
     deps.snapshotEntries = snapshotEntries;
     deps.lease = entryLease;
+    deps.timeouts = groupTimeouts();
     deps.clock = deps_.clock;
     deps.random = deps_.random;
     deps.send = [this](const HostId &to, PeerBody body) {
@@ -365,12 +379,45 @@
         runner_.stop();
         return;
     }
-    registry_.adopt(deps_.lastView());
+    adoptFleet();
     care_.leadershipBegan(control_->status());
     pushedRegistry_ = 0;
     pushedRoutes_ = 0;
 }
 
+void StorageRole::adoptFleet()
+{
+    const FleetView &last = deps_.lastView();
+    if (last.term > 0) {
+        registry_.adopt(last);
+        return;
+    }
+    // Started lately: servers announce themselves only each second or so.
+    const Outcome<PeerMessage> saved = decodeMessage(control_->state()->savedFleet());
+    const auto *view = saved.ok() ? std::get_if<FleetView>(&saved.value().body) : nullptr;
+    registry_.adopt(view != nullptr ? *view : last);
+}
+
+void StorageRole::saveFleet()
+{
+    FleetView view;
+    view.servers = registry_.servers();
+    for (FleetServer &server : view.servers) {
+        server.sequence = 0;
+    }
+    std::string encoded = encodeMessage(PeerMessage{defaultGroup, std::move(view), {}, {}});
+    if (encoded == savedFleet_) {
+        return;
+    }
+    savedFleet_ = encoded;
+    control_->propose(SaveFleet{std::move(encoded), deps_.clock.wall()},
+                      [this](const Outcome<Reply> &reply) {
+                          if (!reply.ok()) {
+                              savedFleet_.clear();
+                          }
+                      });
+}
+
 FleetView StorageRole::makeView() const
 {
     FleetView view;
@@ -439,6 +486,7 @@
     if (now >= nextCare_) {
         nextCare_ = now + careInterval;
         registry_.tick();
+        saveFleet();
         careForGroup();
     }
 }
--- a/persimmonlb/fleetnode/storagerole.h
+++ b/persimmonlb/fleetnode/storagerole.h
@@ -95,6 +95,8 @@
     void takeReport(const HostId &from, const HostReport &report);
     void takeNotice(const HostId &from, const ServerNotice &notice);
     bool applyNotice(const ServerNotice &notice);
+    void adoptFleet();
+    void saveFleet();
     [[nodiscard]] FleetView makeView() const;
     [[nodiscard]] SlotCapacity capacityOf(const ServiceName &service) const;
     /// The routes in force, parsed when they have changed.
@@ -113,6 +115,7 @@
     SlotBroker broker_;
     BulkRunner runner_;
     std::shared_ptr<const RouteTable> routes_;
+    std::string savedFleet_; ///< Last proposed, encoded.
     std::uint64_t pushedRegistry_ = 0;
     std::uint64_t pushedRoutes_ = 0;
     bool leads_ = false;
--- a/persimmonlb/relay/internal/relaycall.cpp
+++ b/persimmonlb/relay/internal/relaycall.cpp
@@ -83,6 +83,7 @@
         < service_.options_.freshShare * static_cast<double>(request_.route.timeout.count());
     SlotRequest slot;
     slot.service = serviceName_;
+    slot.availabilityZone = service_.options_.availabilityZone;
     slot.priority = request_.route.priority;
     slot.startWithinMs = atLeastZero(request_.route.objective - spent - allowance);
     slot.giveUpAfterMs = atLeastZero(timeLeft() - allowance);
--- a/persimmonlb/relay/relayservice.h
+++ b/persimmonlb/relay/relayservice.h
@@ -17,6 +17,7 @@
 {
 
 struct RelayOptions {
+    AvailabilityZone availabilityZone; ///< Of this host.
     /// From the sending to the first event at the caller, when nothing waits: an engine's first
     /// step and the network. A slot granted later than the objective less this is too late.
     Milliseconds firstEventAllowance{80};
--- a/persimmonlb/slots/slotbroker.cpp
+++ b/persimmonlb/slots/slotbroker.cpp
@@ -18,6 +18,8 @@
 constexpr double warmTokensPerMs = 100.0; ///< Prompt tokens that an engine reads in a millisecond.
 constexpr double slowServerRatio = 1.3; ///< Of the service's hold; below it a server is not slow.
 constexpr double slowServerCost = 20.0; ///< For each whole multiple above the ratio.
+/// Between a server of the entry host's zone and another: less than one slot's difference in load.
+constexpr double otherZoneCost = 1.0;
 constexpr std::size_t warmPartsKept = 1024; ///< Of one server, in each of two generations.
 constexpr Milliseconds unknownWait{500}; ///< Told while no server takes requests.
 constexpr std::uint64_t retrySpread = 4; ///< Returns are spread over a quarter of the wait.
@@ -104,6 +106,10 @@
     const double slots = std::max(1U, slotsOf(server));
     double cost = fullServerCost * (server.online + server.batch) / slots
         - static_cast<double>(warm) / warmTokensPerMs;
+    if (!request.availabilityZone.empty()
+        && server.info.availabilityZone != request.availabilityZone) {
+        cost += otherZoneCost;
+    }
     const auto service = services_.find(server.info.service);
     const double usual = service == services_.end() ? 0 : service->second.holdMs;
     if (usual > 0 && server.holdMs > usual * slowServerRatio) {
@@ -116,13 +122,19 @@
 {
     Server *best = nullptr;
     double lowest = 0;
+    std::uint64_t equals = 0;
     for (auto &[id, server] : servers_) {
         if (server.info.service != request.service || !takes(server, request.tokens)
             || std::ranges::find(request.excluded, id) != request.excluded.end()) {
             continue;
         }
         const double cost = costOf(server, request);
-        if (best == nullptr || cost < lowest) {
+        if (best != nullptr && cost > lowest) {
+            continue;
+        }
+        // Among equals by lot, so that the hosts that choose do not all take the first.
+        equals = best != nullptr && cost == lowest ? equals + 1 : 1;
+        if (equals == 1 || random_() % equals == 0) {
             best = &server;
             lowest = cost;
         }
--- a/persimmonlb/state/command.h
+++ b/persimmonlb/state/command.h
@@ -339,10 +339,11 @@
     bool operator==(const PlainReply &) const = default;
 };
 
-using Command = std::variant<ApplySheet, OpenJob, AddItems, SealJob, CancelJob, LeaseItems,
-                             CompleteItems, ReleaseOwner, ClaimRequest, RecordOutcome, RegisterHost,
-                             DrainHost, ReportSuspects, ReleaseQuarantine, ReserveFencing,
-                             AppendAudit, PutRoutes, AcceptBulk, RecordBulk, EndBulk, RetireStore>;
+using Command
+    = std::variant<ApplySheet, OpenJob, AddItems, SealJob, CancelJob, LeaseItems, CompleteItems,
+                   ReleaseOwner, ClaimRequest, RecordOutcome, RegisterHost, DrainHost,
+                   ReportSuspects, ReleaseQuarantine, ReserveFencing, AppendAudit, PutRoutes,
+                   AcceptBulk, RecordBulk, EndBulk, RetireStore, SaveBulkProgress, SaveFleet>;
 
 using Reply = std::variant<PlainReply, SheetReply, JobReply, LeaseReply, CompleteReply, ClaimReply,
                            FencingReply>;
--- a/persimmonlb/state/command_test.cpp
+++ b/persimmonlb/state/command_test.cpp
@@ -107,6 +107,14 @@
                    .at = noon},
         EndBulk{.id = {"b1"}, .at = noon},
         RetireStore{.name = "store-1", .at = noon},
+        SaveBulkProgress{.parts = {{.id = {"b1"},
+                                    .index = 1,
+                                    .fromCount = 2,
+                                    .count = 3,
+                                    .lastEventId = 4,
+                                    .output = "a"}},
+                         .at = noon},
+        SaveFleet{.view = std::string("\0\xff", 2), .at = noon},
     };
 }
 
--- a/persimmonlb/state/fleetcommand.h
+++ b/persimmonlb/state/fleetcommand.h
@@ -82,6 +82,34 @@
     bool operator==(const RecordBulk &) const = default;
 };
 
+/// What a run of an item has produced beyond what was saved before.
+struct BulkProgress {
+    JobId id;
+    std::uint32_t index = 0;
+    std::uint64_t fromCount = 0; ///< Events saved before; 0 replaces what is saved.
+    std::uint64_t count = 0; ///< Events so far.
+    std::uint64_t lastEventId = 0;
+    std::string output; ///< Of the events beyond `fromCount`, as it follows what is saved.
+
+    bool operator==(const BulkProgress &) const = default;
+};
+
+/// Saves progress, so that another leader goes on with an item instead of starting it anew.
+struct SaveBulkProgress {
+    std::vector<BulkProgress> parts;
+    WallTime at;
+
+    bool operator==(const SaveBulkProgress &) const = default;
+};
+
+/// Keeps the servers that the leader knows, for the first moments after all hosts were down.
+struct SaveFleet {
+    std::string view; ///< An encoded message with a FleetView.
+    WallTime at;
+
+    bool operator==(const SaveFleet &) const = default;
+};
+
 /// Ends a job: what has no result yet never gets one. code NotFound: no such job.
 struct EndBulk {
     JobId id;
--- a/persimmonlb/state/fleetfields.h
+++ b/persimmonlb/state/fleetfields.h
@@ -67,6 +67,31 @@
     visitor("at", value.at);
 }
 
+template <typename Visitor, Like<BulkProgress> Value>
+void visitFields(Visitor &visitor, Value &value)
+{
+    visitor("id", value.id);
+    visitor("index", value.index);
+    visitor("fromCount", value.fromCount);
+    visitor("count", value.count);
+    visitor("lastEventId", value.lastEventId);
+    visitor("output", value.output);
+}
+
+template <typename Visitor, Like<SaveBulkProgress> Value>
+void visitFields(Visitor &visitor, Value &value)
+{
+    visitor("parts", value.parts);
+    visitor("at", value.at);
+}
+
+template <typename Visitor, Like<SaveFleet> Value>
+void visitFields(Visitor &visitor, Value &value)
+{
+    visitor("view", value.view);
+    visitor("at", value.at);
+}
+
 template <typename Visitor, Like<EndBulk> Value>
 void visitFields(Visitor &visitor, Value &value)
 {
@@ -153,6 +178,10 @@
 template <>
 inline constexpr std::string_view typeName<RetireStore> = "retire_store";
 template <>
+inline constexpr std::string_view typeName<SaveBulkProgress> = "save_bulk_progress";
+template <>
+inline constexpr std::string_view typeName<SaveFleet> = "save_fleet";
+template <>
 inline constexpr std::string_view typeName<RoutesQuery> = "routes_query";
 template <>
 inline constexpr std::string_view typeName<RoutesAnswer> = "routes_answer";
--- a/persimmonlb/state/keys.cpp
+++ b/persimmonlb/state/keys.cpp
@@ -174,6 +174,11 @@
     return prefixed("bulkresult/", text(id.value)) + bigEndian(position);
 }
 
+std::string bulkProgress(const JobId &id, std::uint32_t index)
+{
+    return prefixed("bulkprogress/", text(id.value)) + bigEndian(index);
+}
+
 std::string retired(const std::string &storeName)
 {
     return prefixed(retiredPrefix, storeName);
--- a/persimmonlb/state/keys.h
+++ b/persimmonlb/state/keys.h
@@ -34,6 +34,8 @@
 ///   bulk/ID                       bulk job: its items' phases and what it was accepted with
 ///   bulkitem/ID INDEX             item of a bulk job as submitted
 ///   bulkresult/ID POSITION        result of a bulk job
+///   bulkprogress/ID INDEX         what an item without a result has so far
+///   fleet                         servers that the leader knew last
 ///   retired/NAME                  storage host that was asked to leave
 ///   next/NAME                     counters: "job", "fencing", "audit", "entrystate"
 namespace persimmonlb::keys
@@ -70,6 +72,7 @@
 std::string bulkJob(const JobId &id);
 std::string bulkItem(const JobId &id, std::uint32_t index);
 std::string bulkResult(const JobId &id, std::uint32_t position);
+std::string bulkProgress(const JobId &id, std::uint32_t index);
 std::string retired(const std::string &storeName);
 
 inline constexpr std::string_view sheetPrefix = "sheet/";
@@ -90,6 +93,7 @@
 inline constexpr std::string_view auditPrefix = "audit/";
 inline constexpr std::string_view auditBatchPrefix = "auditbatch/";
 inline constexpr std::string_view routes = "routes";
+inline constexpr std::string_view fleet = "fleet";
 inline constexpr std::string_view bulkJobPrefix = "bulk/";
 inline constexpr std::string_view retiredPrefix = "retired/";
 
--- a/persimmonlb/state/replicatedstate.cpp
+++ b/persimmonlb/state/replicatedstate.cpp
@@ -345,6 +345,18 @@
     return PlainReply{};
 }
 
+Reply ReplicatedState::applyOne(const SaveBulkProgress &command, MutationList &changes)
+{
+    bulk_.saveProgress(command, changes);
+    return PlainReply{};
+}
+
+Reply ReplicatedState::applyOne(const SaveFleet &command, MutationList &changes)
+{
+    changes.push_back({std::string(keys::fleet), command.view});
+    return PlainReply{};
+}
+
 Result<void> ReplicatedState::reloadRoutes()
 {
     routes_ = {};
@@ -499,6 +511,11 @@
     return retired_;
 }
 
+std::string ReplicatedState::savedFleet() const
+{
+    return store_.get(keys::fleet).value_or(std::string());
+}
+
 std::size_t ReplicatedState::jobMemoryBytes() const
 {
     return jobs_.memoryBytes();
--- a/persimmonlb/state/replicatedstate.h
+++ b/persimmonlb/state/replicatedstate.h
@@ -81,6 +81,8 @@
     [[nodiscard]] const RoutesAnswer &routes() const;
     [[nodiscard]] const BulkTable &bulk() const;
     [[nodiscard]] const std::set<std::string> &retiredStores() const;
+    /// What the last SaveFleet held, or empty.
+    [[nodiscard]] std::string savedFleet() const;
     /// Bytes of the jobs' index in memory, near enough for a benchmark.
     [[nodiscard]] std::size_t jobMemoryBytes() const;
 
@@ -106,6 +108,8 @@
     Reply applyOne(const RecordBulk &command, MutationList &changes);
     Reply applyOne(const EndBulk &command, MutationList &changes);
     Reply applyOne(const RetireStore &command, MutationList &changes);
+    Reply applyOne(const SaveBulkProgress &command, MutationList &changes);
+    Reply applyOne(const SaveFleet &command, MutationList &changes);
 
     Result<void> reloadRoutes();
     void expire(WallTime at, MutationList &changes);
--- a/persimmonlb/wire/internal/messagefields.h
+++ b/persimmonlb/wire/internal/messagefields.h
@@ -335,6 +335,7 @@
 {
     archive.field("i", message.ticket);
     archive.field("s", message.service);
+    archive.field("z", message.availabilityZone);
     archive.field("p", message.priority);
     archive.field("w", message.startWithinMs);
     archive.field("g", message.giveUpAfterMs);
--- a/persimmonlb/wire/message_test.cpp
+++ b/persimmonlb/wire/message_test.cpp
@@ -147,6 +147,7 @@
         MemberRemoved{.member = {"h1#2"}},
         SlotRequest{.ticket = 1,
                     .service = {"lm"},
+                    .availabilityZone = {"a"},
                     .priority = 2,
                     .startWithinMs = 3,
                     .giveUpAfterMs = 4,
