--- a/persimmonlb/slots/slotbroker.cpp
+++ b/persimmonlb/slots/slotbroker.cpp
@@ -18,8 +18,9 @@
 constexpr double warmTokensPerMs = 100.0; ///< Prompt tokens that an engine reads in a millisecond.
 constexpr double slowServerRatio = 1.3; ///< Of the service's hold; below it a server is not slow.
 constexpr double slowServerCost = 20.0; ///< For each whole multiple above the ratio.
-/// Between a server of the entry host's zone and another: less than one slot's difference in load.
-constexpr double otherZoneCost = 1.0;
+/// For a server outside of the sender's zone: as much as three slots' difference in load. Bytes
+/// between zones are billed, and such a difference moves the first event by few milliseconds.
+constexpr double otherZoneCost = 4.0;
 constexpr std::size_t warmPartsKept = 1024; ///< Of one server, in each of two generations.
 constexpr Milliseconds unknownWait{500}; ///< Told while no server takes requests.
 constexpr std::uint64_t retrySpread = 4; ///< Returns are spread over a quarter of the wait.
@@ -419,6 +420,7 @@
     }
     SlotRequest request;
     request.service = service;
+    request.availabilityZone = options_.availabilityZone;
     request.tokens = tokens;
     Server *server = bestFor(request);
     if (server == nullptr) {
--- a/persimmonlb/slots/slotbroker.h
+++ b/persimmonlb/slots/slotbroker.h
@@ -17,6 +17,7 @@
 {
 
 struct SlotBrokerOptions {
+    AvailabilityZone availabilityZone; ///< Of this host, which sends batch runs.
     /// Share of a service's slots that batch leaves free, so that the usual swing of online
     /// requests does not cut batch runs; not kept against runs that would miss their due time.
     double batchReserve = 0.06;
