--- a/persimmonlb/bulk/bulkrunner.cpp
+++ b/persimmonlb/bulk/bulkrunner.cpp
@@ -330,14 +330,20 @@
             .add("why", why)
             .write();
     }
-    unrecorded_[key] = BulkOutcome{key.index, phase, std::move(output)};
+    unrecorded_[key] = BulkOutcome{key.index, phase, 0, std::move(output)};
     propose(key);
 }
 
 void BulkRunner::propose(const Key &key)
 {
     proposeAgain_[key] = clock_.monotonic() + options_.recordRetry;
-    const RecordBulk command{key.job, {unrecorded_.at(key)}, clock_.wall()};
+    BulkOutcome outcome = unrecorded_.at(key);
+    const Progress &progress = progress_[key];
+    if (outcome.phase == BulkItemPhase::Completed && progress.savedCount > 0) {
+        outcome.fromCount = progress.savedCount;
+        outcome.output.erase(0, progress.savedBytes);
+    }
+    const RecordBulk command{key.job, {std::move(outcome)}, clock_.wall()};
     const std::weak_ptr<bool> alive = alive_;
     hooks_.propose(command, [this, alive, key](const Outcome<Reply> &reply) {
         if (alive.expired() || !reply.ok()) {
@@ -347,6 +353,12 @@
         if (found == unrecorded_.end()) {
             return;
         }
+        const auto *plain = std::get_if<PlainReply>(&reply.value());
+        if (plain != nullptr && plain->code == ResultCode::MalformedRequest) {
+            progress_[key].savedCount = 0;
+            progress_[key].savedBytes = 0;
+            return;
+        }
         if (found->second.phase != BulkItemPhase::Waiting) {
             progress_.erase(key);
         }
--- a/persimmonlb/bulk/bulktable.cpp
+++ b/persimmonlb/bulk/bulktable.cpp
@@ -97,12 +97,23 @@
         return {.code = ResultCode::NotFound, .message = "no open job " + command.id.value};
     }
     BulkJob &job = found->second;
+    PlainReply reply;
     for (const BulkOutcome &outcome : command.outcomes) {
         if (outcome.index >= job.items.size()
             || job.items[outcome.index].phase != BulkItemPhase::Waiting) {
             continue;
         }
         BulkItem &item = job.items[outcome.index];
+        std::string output = outcome.output;
+        if (outcome.fromCount > 0) {
+            const auto saved = progress(command.id, outcome.index);
+            if (!saved || saved->count != outcome.fromCount) {
+                reply = {.code = ResultCode::MalformedRequest,
+                         .message = "the output does not follow what is saved"};
+                continue;
+            }
+            output = saved->output + output;
+        }
         if (outcome.phase == BulkItemPhase::Waiting) {
             ++item.attempts;
             if (item.attempts < job.maxAttempts) {
@@ -112,12 +123,12 @@
         item.phase
             = outcome.phase == BulkItemPhase::Waiting ? BulkItemPhase::DeadLettered : outcome.phase;
         changes.push_back({keys::bulkProgress(command.id, outcome.index), std::nullopt});
-        const BulkResult result{.id = item.id, .phase = item.phase, .output = outcome.output};
+        const BulkResult result{.id = item.id, .phase = item.phase, .output = std::move(output)};
         changes.push_back({keys::bulkResult(command.id, job.listed), encodeFields(result)});
         ++job.listed;
     }
     write(command.id, job, changes);
-    return {};
+    return reply;
 }
 
 PlainReply BulkTable::end(const EndBulk &command, MutationList &changes)
--- a/persimmonlb/bulk/bulktable_test.cpp
+++ b/persimmonlb/bulk/bulktable_test.cpp
@@ -53,12 +53,16 @@
     {
         BOOST_REQUIRE(capture([&] { return memory.stateStore().write(changes); }).ok());
     }
-    PlainReply record(std::uint32_t index, BulkItemPhase phase, const std::string &output)
+    PlainReply record(std::uint32_t index, BulkItemPhase phase, const std::string &output,
+                      std::uint64_t fromCount = 0)
     {
-        return run(&BulkTable::record,
-                   RecordBulk{.id = jobId,
-                              .outcomes = {{.index = index, .phase = phase, .output = output}},
-                              .at = noon});
+        return run(
+            &BulkTable::record,
+            RecordBulk{
+                .id = jobId,
+                .outcomes
+                = {{.index = index, .phase = phase, .fromCount = fromCount, .output = output}},
+                .at = noon});
     }
 
     MemoryStore memory;
@@ -152,7 +156,11 @@
     BOOST_REQUIRE(saved.has_value());
     BOOST_TEST(saved->output == "a\nb\nc");
     BOOST_TEST(saved->count == 3U);
-    bench.record(0, BulkItemPhase::Completed, "a\nb\nc\nd");
+    const PlainReply wrong = bench.record(0, BulkItemPhase::Completed, "\ne", 4);
+    BOOST_TEST((wrong.code == ResultCode::MalformedRequest));
+    BOOST_TEST(bench.table.page({.id = jobId}).results.empty());
+    bench.record(0, BulkItemPhase::Completed, "\nd", 3);
+    BOOST_TEST(bench.table.page({.id = jobId}).results.at(0).output == "a\nb\nc\nd");
     BOOST_TEST(!bench.table.progress(jobId, 0).has_value());
     save(0, 1, "late");
     BOOST_TEST(!bench.table.progress(jobId, 0).has_value());
--- a/persimmonlb/fleetnode/storagerole.cpp
+++ b/persimmonlb/fleetnode/storagerole.cpp
@@ -37,7 +37,8 @@
     : deps_(std::move(deps))
     , registry_(FleetRegistryOptions{}, deps_.clock)
     , care_(GroupCareOptions{}, deps_.clock)
-    , broker_(SlotBrokerOptions{.availabilityZone = deps_.settings.availabilityZone}, deps_.clock, deps_.random, brokerHooks())
+    , broker_(SlotBrokerOptions{.availabilityZone = deps_.settings.availabilityZone}, deps_.clock,
+              deps_.random, brokerHooks())
     , runner_(BulkRunnerOptions{}, deps_.clock, broker_, deps_.metrics, runnerHooks())
 {
 }
--- a/persimmonlb/state/command_test.cpp
+++ b/persimmonlb/state/command_test.cpp
@@ -102,8 +102,10 @@
                    .keepFor = Milliseconds(120000),
                    .at = noon},
         RecordBulk{.id = {"b1"},
-                   .outcomes
-                   = {{.index = 1, .phase = BulkItemPhase::DeadLettered, .output = "a\nb"}},
+                   .outcomes = {{.index = 1,
+                                 .phase = BulkItemPhase::DeadLettered,
+                                 .fromCount = 2,
+                                 .output = "a\nb"}},
                    .at = noon},
         EndBulk{.id = {"b1"}, .at = noon},
         RetireStore{.name = "store-1", .at = noon},
--- a/persimmonlb/state/fleetcommand.h
+++ b/persimmonlb/state/fleetcommand.h
@@ -68,12 +68,14 @@
 struct BulkOutcome {
     std::uint32_t index = 0;
     BulkItemPhase phase = BulkItemPhase::Waiting;
-    std::string output; ///< Data of all events, separated by line feeds.
+    std::uint64_t fromCount = 0; ///< Events saved before, which `output` follows; 0: it is whole.
+    std::string output; ///< Data of the events, separated by line feeds.
 
     bool operator==(const BulkOutcome &) const = default;
 };
 
-/// Records outcomes of one job. The first end of an item holds; later ones are dropped.
+/// Records outcomes of one job. The first end of an item holds; later ones are dropped. code
+/// MalformedRequest: an output does not follow what is saved, and nothing was recorded of it.
 struct RecordBulk {
     JobId id;
     std::vector<BulkOutcome> outcomes;
