A new leader asks engines what others left running there

Change: for 7 s a new leader asks each engine for its load every 0.7 s; requests that nobody here sent take up slots for 1.2 s.

--- a/persimmonlb/fleetnode/fleetface.h
+++ b/persimmonlb/fleetnode/fleetface.h
@@ -1,7 +1,9 @@
 #pragma once
 
+#include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -22,6 +24,11 @@
     /// The request that runs an item of a bulk job.
     std::function<HttpRequest(const std::string &host, const BulkItemSpec &item)> itemRequest;
 
+    /// Asks an engine how much it is doing, and reads the answer: requests that run or wait there,
+    /// whoever sent them. Nothing when the answer is none.
+    std::function<HttpRequest()> loadRequest;
+    std::function<std::optional<std::uint32_t>(std::string_view body)> parseLoad;
+
     HttpHandler callers;
     HttpHandler directory;
     HttpHandler readiness;
--- a/persimmonlb/fleetnode/storagerole.cpp
+++ b/persimmonlb/fleetnode/storagerole.cpp
@@ -18,6 +18,12 @@
 constexpr std::uint64_t snapshotEntries = 20000; ///< Some minutes of a busy group.
 constexpr Milliseconds entryLease{5000}; ///< Of hosts that use sheets; unused with routes.
 
+/// A new leader asks engines for what others left running there: for as long as the longest runs
+/// last, as often as it must to follow them.
+constexpr Milliseconds longestRun{7000};
+constexpr Milliseconds loadInterval{700};
+constexpr Milliseconds loadTimeout{500};
+
 /// One zone apart, hosts hear each other within some milliseconds; a host whose processor is
 /// rationed may stand still for a tenth of a second. Callers wait out an election.
 AgreementTimeouts groupTimeouts()
@@ -378,9 +384,11 @@
     broker_.reset();
     if (!leads) {
         runner_.stop();
+        loadCalls_.clear();
         return;
     }
     adoptFleet();
+    askLoadsUntil_ = deps_.clock.monotonic() + longestRun;
     care_.leadershipBegan(control_->status());
     pushedRegistry_ = 0;
     pushedRoutes_ = 0;
@@ -477,10 +485,43 @@
                             });
 }
 
+/// Runs that the leader before sent may go on: a server that does not see its sender end keeps
+/// them. Only the servers know, for as long as such a run lasts.
+void StorageRole::askLoads()
+{
+    const MonotonicTime now = deps_.clock.monotonic();
+    if (now >= askLoadsUntil_ || now < nextLoads_) {
+        return;
+    }
+    nextLoads_ = now + loadInterval;
+    const auto table = routes();
+    for (const FleetServer &server : registry_.servers()) {
+        const RoutedService *service = table ? table->findService(server.service) : nullptr;
+        if (service == nullptr || !service->isEngine || server.draining) {
+            continue;
+        }
+        auto body = std::make_shared<std::string>();
+        HttpExchangeHooks hooks;
+        hooks.chunk = [body](const std::string &chunk) {
+            *body += chunk;
+        };
+        hooks.end = [this, body, id = server.id](const HttpExchangeEnd &end) {
+            const auto load = end.code == ResultCode::Ok ? deps_.face.parseLoad(*body)
+                                                         : std::optional<std::uint32_t>();
+            if (load) {
+                broker_.noteLoad(id, *load);
+            }
+        };
+        loadCalls_[server.id] = deps_.client.start(server.address, deps_.face.loadRequest(),
+                                                   loadTimeout, std::move(hooks));
+    }
+}
+
 void StorageRole::leaderTick()
 {
     pushRoutes();
     serversChanged();
+    askLoads();
     broker_.tick();
     runner_.tick();
     const MonotonicTime now = deps_.clock.monotonic();
--- a/persimmonlb/fleetnode/storagerole.h
+++ b/persimmonlb/fleetnode/storagerole.h
@@ -88,6 +88,7 @@
     void giveUpStore();
     void leadershipChanged(bool leads);
     void leaderTick();
+    void askLoads();
     void careForGroup();
     void pushView();
     void pushRoutes();
@@ -120,6 +121,9 @@
     std::uint64_t pushedRoutes_ = 0;
     bool leads_ = false;
     MonotonicTime nextCare_;
+    MonotonicTime askLoadsUntil_;
+    MonotonicTime nextLoads_;
+    std::map<ServerId, std::unique_ptr<HttpExchange>> loadCalls_;
     std::uint64_t nextNotice_ = 1;
     std::map<std::uint64_t, PendingNotice> notices_;
 };
--- a/persimmonlb/fleetnode/testing/loopbackfleet.cpp
+++ b/persimmonlb/fleetnode/testing/loopbackfleet.cpp
@@ -73,6 +73,12 @@
     face.itemRequest = [](const std::string &, const BulkItemSpec &) {
         return HttpRequest();
     };
+    face.loadRequest = [] {
+        return HttpRequest();
+    };
+    face.parseLoad = [](std::string_view) {
+        return std::optional<std::uint32_t>();
+    };
     face.callers = none;
     face.directory = none;
     face.readiness = none;
--- a/persimmonlb/slots/slotbroker.cpp
+++ b/persimmonlb/slots/slotbroker.cpp
@@ -83,12 +83,30 @@
     return std::min(announced, configured);
 }
 
+std::uint32_t SlotBroker::takenOf(const Server &server) const
+{
+    const bool recent = clock_.monotonic() < server.foreignUntil;
+    return server.online + server.batch + (recent ? server.foreign : 0);
+}
+
+void SlotBroker::noteLoad(const ServerId &server, std::uint32_t requests)
+{
+    const auto found = servers_.find(server);
+    if (found == servers_.end()) {
+        return;
+    }
+    Server &known = found->second;
+    const std::uint32_t ours = known.online + known.batch;
+    known.foreign = requests > ours ? requests - ours : 0;
+    known.foreignUntil = clock_.monotonic() + options_.foreignMemory;
+}
+
 bool SlotBroker::takes(const Server &server, std::uint64_t tokens) const
 {
     if (server.info.draining || clock_.monotonic() < server.restsUntil) {
         return false;
     }
-    if (server.online + server.batch >= slotsOf(server)) {
+    if (takenOf(server) >= slotsOf(server)) {
         return false;
     }
     const std::uint64_t room = server.capacity.cacheTokens;
@@ -105,7 +123,7 @@
         warm += part.tokens;
     }
     const double slots = std::max(1U, slotsOf(server));
-    double cost = fullServerCost * (server.online + server.batch) / slots
+    double cost = fullServerCost * takenOf(server) / slots
         - static_cast<double>(warm) / warmTokensPerMs;
     if (!request.availabilityZone.empty()
         && server.info.availabilityZone != request.availabilityZone) {
@@ -471,7 +489,7 @@
         if (server.info.service != service || !takes(server, 0)) {
             continue;
         }
-        free += slotsOf(server) - server.online - server.batch;
+        free += slotsOf(server) - takenOf(server);
     }
     return free;
 }
--- a/persimmonlb/slots/slotbroker.h
+++ b/persimmonlb/slots/slotbroker.h
@@ -31,6 +31,8 @@
     Milliseconds longestRest{4000};
     /// A server that refused although a slot seemed free is asked again after this.
     Milliseconds refusalRest{40};
+    /// What a server says of requests that nobody here sent holds for so long.
+    Milliseconds foreignMemory{1200};
     std::uint32_t failuresUntilRest = 2; ///< In a row; one alone may be the request's fault.
     std::size_t maxQueued = 4096; ///< Requests that wait, of all services.
 };
@@ -98,6 +100,9 @@
                                          bool urgent);
     /// A batch run ended by itself.
     void batchEnded(const BatchRunSlot &run, SlotOutcome outcome);
+    /// A server says how many requests run or wait there, whoever sent them: what is not known here
+    /// was sent by a broker or an entry host that is gone, and takes up slots for a while.
+    void noteLoad(const ServerId &server, std::uint32_t requests);
     /// Address of a server, or empty.
     [[nodiscard]] std::string addressOf(const ServerId &server) const;
 
@@ -112,6 +117,8 @@
         SlotCapacity capacity;
         std::uint32_t online = 0;
         std::uint32_t batch = 0;
+        std::uint32_t foreign = 0; ///< Requests of senders that are gone.
+        MonotonicTime foreignUntil;
         std::uint64_t tokens = 0;
         std::uint32_t failures = 0; ///< In a row.
         bool onTrial = false; ///< After a rest: one request until one succeeds.
@@ -144,6 +151,8 @@
 
     [[nodiscard]] bool takes(const Server &server, std::uint64_t tokens) const;
     [[nodiscard]] std::uint32_t slotsOf(const Server &server) const;
+    /// Slots that are taken, by anybody.
+    [[nodiscard]] std::uint32_t takenOf(const Server &server) const;
     [[nodiscard]] double costOf(const Server &server, const SlotRequest &request) const;
     [[nodiscard]] Server *bestFor(const SlotRequest &request);
     [[nodiscard]] Milliseconds expectedWait(const ServiceName &service, std::size_t ahead) const;
--- a/persimmonlb/slots/slotbroker_test.cpp
+++ b/persimmonlb/slots/slotbroker_test.cpp
@@ -217,6 +217,18 @@
     BOOST_TEST(bench.broker.freeSlots(service) == 2U);
 }
 
+BOOST_AUTO_TEST_CASE(RequestsOfALostSenderTakeUpSlotsForAWhile)
+{
+    Bench bench(1);
+    bench.broker.request(entry, bench.ask(1));
+    bench.broker.noteLoad(ServerId{"s0"}, 2);
+    BOOST_TEST(bench.broker.freeSlots(service) == 0U);
+    bench.broker.request(entry, bench.ask(2, 3000));
+    BOOST_TEST(bench.grants.size() == 1U);
+    bench.pass(1300);
+    BOOST_TEST(bench.grants.size() == 2U);
+}
+
 BOOST_AUTO_TEST_CASE(WithoutServersRequestsAreRefusedAtOnce)
 {
     Bench bench(0);
