Bulk items are offered slots of services that no online request has asked for

Ruled out: dropped routes, pauses after failures, unrecorded results (all items might run). Test: slots_test BatchIsOfferedSlotsWithoutAnyOnlineRequest fails without it.

--- a/persimmonlb/slots/slotbroker.cpp
+++ b/persimmonlb/slots/slotbroker.cpp
@@ -49,6 +49,7 @@
         server.info = info;
         server.capacity = capacityOf(info.service);
         next.emplace(info.id, std::move(server));
+        services_.try_emplace(info.service);
     }
     servers_ = std::move(next);
     std::erase_if(held_,
@@ -66,7 +67,9 @@
         server.tokens = 0;
     }
     held_.clear();
-    services_.clear();
+    for (auto &[name, service] : services_) {
+        service = Service();
+    }
     queued_ = 0;
 }
 
@@ -123,8 +126,8 @@
         warm += part.tokens;
     }
     const double slots = std::max(1U, slotsOf(server));
-    double cost = fullServerCost * takenOf(server) / slots
-        - static_cast<double>(warm) / warmTokensPerMs;
+    double cost
+        = fullServerCost * takenOf(server) / slots - static_cast<double>(warm) / warmTokensPerMs;
     if (!request.availabilityZone.empty()
         && server.info.availabilityZone != request.availabilityZone) {
         cost += otherZoneCost;
--- a/persimmonlb/slots/slotbroker_test.cpp
+++ b/persimmonlb/slots/slotbroker_test.cpp
@@ -229,6 +229,16 @@
     BOOST_TEST(bench.grants.size() == 2U);
 }
 
+BOOST_AUTO_TEST_CASE(BatchIsOfferedSlotsWithoutAnyOnlineRequest)
+{
+    // After a change of leader at the end of the day only bulk items are left.
+    Bench bench(1);
+    bench.broker.reset();
+    const int before = bench.batchOffers;
+    bench.pass(20);
+    BOOST_TEST(bench.batchOffers > before);
+}
+
 BOOST_AUTO_TEST_CASE(WithoutServersRequestsAreRefusedAtOnce)
 {
     Bench bench(0);
