--- a/persimmonlb/base/logline.cpp
+++ b/persimmonlb/base/logline.cpp
@@ -2,9 +2,12 @@
 
 #include <array>
 #include <atomic>
+#include <memory>
 
 #include <easylogging++.h>
 
+#include "persimmonlb/base/linewriter.h"
+
 INITIALIZE_EASYLOGGINGPP
 
 namespace persimmonlb
@@ -15,6 +18,24 @@
 
 std::atomic<bool> started = false;
 
+/// Set once, before the first line, and reset after the last one.
+std::unique_ptr<LineWriter> writer;
+
+/// Hands the lines that the library has built to the writer.
+class WriterDispatch : public el::LogDispatchCallback
+{
+protected:
+    void handle(const el::LogDispatchData *data) override
+    {
+        const el::LogMessage *message = data->logMessage();
+        const bool important
+            = message->level() != el::Level::Info && message->level() != el::Level::Debug;
+        if (writer) {
+            writer->write(message->logger()->logBuilder()->build(message, true), important);
+        }
+    }
+};
+
 constexpr std::array<std::string_view, 4> levelNames = {"debug", "info", "warning", "error"};
 
 bool needsQuotes(std::string_view value)
@@ -114,14 +135,24 @@
     configuration.setGlobally(el::ConfigurationType::Format,
                               "%datetime{%Y-%M-%dT%H:%m:%s.%g} %msg");
     configuration.setGlobally(el::ConfigurationType::ToFile, "false");
-    configuration.setGlobally(el::ConfigurationType::ToStandardOutput, "true");
+    configuration.setGlobally(el::ConfigurationType::ToStandardOutput, "false");
     for (const LogLevel level :
          {LogLevel::Debug, LogLevel::Info, LogLevel::Warning, LogLevel::Error}) {
         const char *enabled = level < least ? "false" : "true";
         configuration.set(toLibraryLevel(level), el::ConfigurationType::Enabled, enabled);
     }
     el::Loggers::reconfigureAllLoggers(configuration);
+    if (!writer) {
+        writer = std::make_unique<LineWriter>(LineWriter::Options());
+        el::Helpers::installLogDispatchCallback<WriterDispatch>("WriterDispatch");
+    }
     started = true;
 }
 
+void stopLogging()
+{
+    started = false;
+    writer.reset();
+}
+
 } // namespace persimmonlb
--- a/persimmonlb/base/logline.h
+++ b/persimmonlb/base/logline.h
@@ -35,8 +35,11 @@
     std::string text_;
 };
 
-/// Sets up easylogging++ once per process: lines go to standard error, those below `least` are
-/// dropped.
+/// Sets up easylogging++: lines go to standard output without holding up the caller
+/// (base/linewriter.h), those below `least` are dropped. A later call changes the level alone.
 void startLogging(LogLevel least);
 
+/// Writes what waits and ends the writer. Call once the other threads have ended.
+void stopLogging();
+
 } // namespace persimmonlb
--- a/persimmonlb/daemon/main.cpp
+++ b/persimmonlb/daemon/main.cpp
@@ -114,7 +114,9 @@
             std::cout << "settings are valid\n";
             return 0;
         }
-        return run(configuration.value());
+        const int code = run(configuration.value());
+        stopLogging();
+        return code;
     } catch (const TCLAP::ExitException &exit) {
         return exit.getExitStatus() == 0 ? 0 : exitBadSettings;
     } catch (const std::exception &error) {
