--- /dev/null
+++ b/persimmonlb/bulk/bulkrunner_test.cpp
@@ -0,0 +1,332 @@
+#include <boost/test/unit_test.hpp>
+
+#include "persimmonlb/bulk/bulkrunner.h"
+#include "persimmonlb/store/memorystore.h"
+
+using namespace persimmonlb;
+
+namespace
+{
+
+const ServiceName engine{"lm"};
+const WallTime noon{Milliseconds(1'796'299'200'000)};
+
+struct Sending {
+    HttpRequest request;
+    std::optional<std::uint64_t> behind;
+    HttpExchangeHooks hooks;
+    bool closed = false;
+};
+
+class FakeExchange : public HttpExchange
+{
+public:
+    explicit FakeExchange(std::shared_ptr<Sending> sending)
+        : sending_(std::move(sending))
+    {
+    }
+    ~FakeExchange() override
+    {
+        sending_->closed = true;
+    }
+    FakeExchange(const FakeExchange &) = delete;
+    FakeExchange &operator=(const FakeExchange &) = delete;
+    void pause() override
+    {
+    }
+    void resume() override
+    {
+    }
+
+private:
+    std::shared_ptr<Sending> sending_;
+};
+
+std::string event(int id)
+{
+    return "id: " + std::to_string(id) + "\ndata: d" + std::to_string(id) + "\n\n";
+}
+
+/// A runner over one engine of two slots; commands are applied at once.
+struct Bench {
+    Bench()
+    {
+        FleetServer server;
+        server.id = ServerId{"s1"};
+        server.bornMs = 1;
+        server.service = engine;
+        server.address = "s1:80";
+        server.slots = 2;
+        broker.setServers({server}, [](const ServiceName &) { return SlotCapacity{2, 0}; });
+        Route route;
+        route.name = "r";
+        route.host = "a.example";
+        route.pathPrefix = "/";
+        route.kind = RouteKind::Batch;
+        route.services = {{engine, 1}};
+        RoutedService service;
+        service.name = engine;
+        auto made = capture([&] { return RouteTable::make(1, {route}, {service}, {}); });
+        BOOST_REQUIRE(made.ok());
+        routes = std::make_shared<const RouteTable>(std::move(made.value()));
+    }
+
+    void accept(const std::string &id, int items, int dueAfterMs = 18000)
+    {
+        AcceptBulk command{.id = JobId{id},
+                           .route = "r",
+                           .host = "a.example",
+                           .items = {},
+                           .maxAttempts = 2,
+                           .dueAfter = Milliseconds(dueAfterMs),
+                           .abandonAfter = Milliseconds(60000),
+                           .keepFor = Milliseconds(120000),
+                           .at = wall};
+        for (int i = 0; i < items; ++i) {
+            command.items.push_back({.id = id + std::to_string(i),
+                                     .path = "/x",
+                                     .headers = {},
+                                     .body = "b",
+                                     .tokens = 9});
+        }
+        apply(command);
+    }
+    void apply(const Command &command)
+    {
+        MutationList changes;
+        if (const auto *accepted = std::get_if<AcceptBulk>(&command)) {
+            table.accept(*accepted, changes);
+        } else if (const auto *recorded = std::get_if<RecordBulk>(&command)) {
+            table.record(*recorded, changes);
+        } else if (const auto *ended = std::get_if<EndBulk>(&command)) {
+            table.end(*ended, changes);
+        } else if (const auto *saved = std::get_if<SaveBulkProgress>(&command)) {
+            table.saveProgress(*saved, changes);
+        }
+        BOOST_REQUIRE(capture([&] { return memory.stateStore().write(changes); }).ok());
+    }
+    void pass(int ms)
+    {
+        now += Milliseconds(ms);
+        wall += Milliseconds(ms);
+        runner.tick();
+        broker.tick();
+    }
+    Sending &sending(std::size_t number)
+    {
+        return *sendings.at(number);
+    }
+    void answer(std::size_t number, std::uint16_t status, const std::string &bytes)
+    {
+        const auto to = sendings.at(number);
+        to->hooks.head(HttpResponseHead{status, {}});
+        to->hooks.chunk(bytes);
+    }
+    void end(std::size_t number, ResultCode code)
+    {
+        const auto to = sendings.at(number);
+        to->hooks.end(HttpExchangeEnd{SendState::Sent, code, "test"});
+    }
+    std::vector<BulkResult> results(const std::string &id) const
+    {
+        return table.page({.id = JobId{id}}).results;
+    }
+
+    MonotonicTime now;
+    WallTime wall = noon;
+    MemoryStore memory{17, [](const std::function<void()> &fn) {
+                           fn();
+                       }};
+    BulkTable table{memory.stateStore()};
+    std::shared_ptr<const RouteTable> routes;
+    std::vector<std::shared_ptr<Sending>> sendings;
+    Metrics metrics;
+    Clock clock{.monotonic = [this] { return now; },
+                .wall =
+                    [this] {
+                        return wall;
+                    }};
+    SlotBroker broker{
+        SlotBrokerOptions{.availabilityZone = {}, .batchReserve = 0}, clock, seededRandom(1),
+        SlotBrokerHooks{.grant = [](const HostId &, const SlotGrant &) {},
+                        .refuse = [](const HostId &, const SlotRefusal &) {},
+                        .yieldBatch
+                        = [this](const ServiceName &service) { return runner.yield(service); },
+                        .batchMayStart =
+                            [this](const ServiceName &service) {
+                                runner.startItems(service);
+                            }}};
+    BulkRunner runner{
+        BulkRunnerOptions{}, clock, broker, metrics,
+        BulkRunnerHooks{
+            .table = [this]() -> const BulkTable * { return &table; },
+            .routes = [this] { return routes; },
+            .propose =
+                [this](const Command &command, const std::function<void(Outcome<Reply>)> &done) {
+                    apply(command);
+                    done(Reply(PlainReply{}));
+                },
+            .itemRequest =
+                [](const std::string &, const BulkItemSpec &item) {
+                    HttpRequest request;
+                    request.target = item.id;
+                    return request;
+                },
+            .codec = {.encode =
+                          [this](const HttpRequest &request, const RelayAttempt &attempt) {
+                              behind = attempt.lastEventId;
+                              return request;
+                          },
+                      .classify =
+                          [](const std::string &, const HttpResponseHead &head) {
+                              return head.status == 200 ? AnswerClass::Success
+                                                        : AnswerClass::Failure;
+                          },
+                      .refusal = nullptr},
+            .send = [this](const std::string &, HttpRequest request, Milliseconds,
+                           HttpExchangeHooks hooks) -> std::unique_ptr<HttpExchange> {
+                auto made = std::make_shared<Sending>();
+                made->request = std::move(request);
+                made->behind = behind;
+                made->hooks = std::move(hooks);
+                sendings.push_back(made);
+                return std::make_unique<FakeExchange>(made);
+            }}};
+    std::optional<std::uint64_t> behind;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(BulkRunnerTest)
+
+BOOST_AUTO_TEST_CASE(ItemsFillFreeSlotsAndTheirOutputIsListed)
+{
+    Bench bench;
+    bench.accept("a", 3);
+    bench.pass(20);
+    BOOST_REQUIRE_EQUAL(bench.sendings.size(), 2U);
+    bench.answer(0, 200, event(1) + event(2));
+    bench.end(0, ResultCode::Ok);
+    BOOST_REQUIRE_EQUAL(bench.results("a").size(), 1U);
+    BOOST_TEST(bench.results("a")[0].output == "d1\nd2");
+    BOOST_TEST(bench.sendings.size() == 3U);
+}
+
+BOOST_AUTO_TEST_CASE(AnItemThatGivesWayGoesOnBehindItsLastEvent)
+{
+    Bench bench;
+    bench.accept("a", 1);
+    bench.pass(20);
+    bench.answer(0, 200, event(1) + event(2) + "id: 3\nda");
+    BOOST_TEST(bench.runner.yield(engine).has_value());
+    BOOST_TEST(bench.sending(0).closed);
+    // The broker counts the slot as free from here on.
+    bench.broker.batchEnded({ServerId{"s1"}, 9}, SlotOutcome::Abandoned);
+    bench.pass(20);
+    BOOST_REQUIRE_EQUAL(bench.sendings.size(), 2U);
+    BOOST_TEST(bench.sending(1).behind.value_or(0) == 2U);
+    bench.answer(1, 200, event(3));
+    bench.end(1, ResultCode::Ok);
+    BOOST_TEST(bench.results("a").at(0).output == "d1\nd2\nd3");
+}
+
+BOOST_AUTO_TEST_CASE(TheRunWithMostTimeToSpareGivesWay)
+{
+    Bench bench;
+    bench.accept("soon", 1, 8000);
+    bench.accept("late", 1, 40000);
+    bench.pass(20);
+    BOOST_REQUIRE_EQUAL(bench.sendings.size(), 2U);
+    BOOST_TEST(bench.sending(0).request.target == "soon0");
+    bench.runner.yield(engine);
+    BOOST_TEST(!bench.sending(0).closed);
+    BOOST_TEST(bench.sending(1).closed);
+}
+
+BOOST_AUTO_TEST_CASE(ARunThatWouldBeLateByItIsKept)
+{
+    Bench bench;
+    bench.accept("tight", 1, 6400);
+    bench.pass(20);
+    BOOST_TEST(!bench.runner.yield(engine).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(AnotherLeaderGoesOnWhereTheRunWasSaved)
+{
+    Bench bench;
+    bench.accept("a", 1);
+    bench.pass(20);
+    std::string events;
+    for (int id = 1; id <= 30; ++id) {
+        events += event(id);
+    }
+    bench.answer(0, 200, events);
+    bench.pass(1100);
+    bench.runner.stop();
+    bench.broker.reset();
+    bench.pass(20);
+    BOOST_REQUIRE_EQUAL(bench.sendings.size(), 2U);
+    BOOST_TEST(bench.sending(1).behind.value_or(0) == 30U);
+    bench.answer(1, 200, event(31));
+    bench.end(1, ResultCode::Ok);
+    const std::string output = bench.results("a").at(0).output;
+    BOOST_TEST(output.starts_with("d1\nd2\n"));
+    BOOST_TEST(output.ends_with("d30\nd31"));
+}
+
+BOOST_AUTO_TEST_CASE(FailuresCountAndAnItemThatCannotBeDoneEnds)
+{
+    Bench bench;
+    bench.accept("a", 2);
+    bench.pass(20);
+    bench.answer(0, 422, "");
+    bench.end(0, ResultCode::Ok);
+    BOOST_REQUIRE_EQUAL(bench.results("a").size(), 1U);
+    BOOST_TEST((bench.results("a")[0].phase == BulkItemPhase::DeadLettered));
+    for (std::size_t attempt = 1; attempt <= 2; ++attempt) {
+        bench.pass(600);
+        BOOST_REQUIRE_EQUAL(bench.sendings.size(), attempt + 1);
+        bench.answer(attempt, 500, "");
+        bench.end(attempt, ResultCode::Ok);
+    }
+    BOOST_REQUIRE_EQUAL(bench.results("a").size(), 2U);
+    bench.pass(2000);
+    BOOST_TEST(bench.sendings.size() == 3U);
+}
+
+BOOST_AUTO_TEST_CASE(ABrokenRunIsNoAttempt)
+{
+    Bench bench;
+    bench.accept("a", 1);
+    bench.pass(20);
+    for (std::size_t number = 0; number < 5; ++number) {
+        bench.end(number, ResultCode::StreamBroken);
+        bench.pass(5000);
+        BOOST_REQUIRE_EQUAL(bench.sendings.size(), number + 2);
+    }
+    BOOST_TEST(bench.results("a").empty());
+}
+
+BOOST_AUTO_TEST_CASE(RunsOfAnEndedJobEnd)
+{
+    Bench bench;
+    bench.accept("a", 2);
+    bench.pass(20);
+    bench.apply(EndBulk{JobId{"a"}, bench.wall});
+    bench.pass(20);
+    BOOST_TEST(bench.sending(0).closed);
+    BOOST_TEST(bench.runner.running() == 0U);
+    bench.pass(2000);
+    BOOST_TEST(bench.sendings.size() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(WhatIsNotDoneInTimeIsGivenUp)
+{
+    Bench bench;
+    bench.accept("a", 1);
+    bench.pass(60400);
+    BOOST_REQUIRE_EQUAL(bench.results("a").size(), 1U);
+    BOOST_TEST((bench.results("a")[0].phase == BulkItemPhase::DeadLettered));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/persimmonlb/fleetnode/fleetsettings.cpp
+++ b/persimmonlb/fleetnode/fleetsettings.cpp
@@ -25,7 +25,7 @@
 
     std::string text(std::string_view key)
     {
-        const auto value = root_.at_path(key).value<std::string>();
+        const auto value = root_.at_path(key).value_exact<std::string>();
         if (!value || value->empty()) {
             complain(key, "missing");
             return {};
@@ -45,7 +45,7 @@
     }
     Milliseconds duration(std::string_view key)
     {
-        const auto value = root_.at_path(key).value<std::int64_t>();
+        const auto value = root_.at_path(key).value_exact<std::int64_t>();
         if (!value || *value <= 0) {
             complain(key, "must be a number of milliseconds above 0");
             return Milliseconds(0);
@@ -65,7 +65,7 @@
     std::uint16_t port(std::string_view key)
     {
         constexpr std::int64_t mostPort = 65535;
-        const auto value = root_.at_path(key).value<std::int64_t>();
+        const auto value = root_.at_path(key).value_exact<std::int64_t>();
         if (!value || *value < 1 || *value > mostPort) {
             complain(key, "must be a port");
             return 0;
@@ -74,7 +74,7 @@
     }
     bool flag(std::string_view key)
     {
-        const auto value = root_.at_path(key).value<bool>();
+        const auto value = root_.at_path(key).value_exact<bool>();
         if (!value) {
             complain(key, "must be true or false");
         }
@@ -143,7 +143,6 @@
     settings.answerTtl = reader.duration("fleet.answer_ttl_ms");
     settings.stopGrace = reader.seconds("fleet.stop_grace_s");
     settings.resultsKept = reader.seconds("fleet.results_kept_s");
-    settings.drainTime = reader.duration("fleet.drain_ms");
     const std::string level = reader.text("log.level");
     const auto found = std::ranges::find(levels, level);
     if (found == levels.end()) {
--- a/persimmonlb/fleetnode/fleetsettings.h
+++ b/persimmonlb/fleetnode/fleetsettings.h
@@ -38,7 +38,6 @@
     Milliseconds answerTtl{0}; ///< Of an answer that says where to connect.
     Milliseconds stopGrace{0}; ///< From the request to stop until the process is killed.
     Milliseconds resultsKept{0}; ///< Bulk results stay readable for so long.
-    Milliseconds drainTime{0}; ///< A draining server must get no more requests after this.
     LogLevel logLevel = LogLevel::Info;
 
     bool operator==(const FleetSettings &) const = default;
--- a/persimmonlb/fleetnode/testing/loopbackfleet.cpp
+++ b/persimmonlb/fleetnode/testing/loopbackfleet.cpp
@@ -117,7 +117,6 @@
     settings.answerTtl = Milliseconds(100);
     settings.stopGrace = Milliseconds(2000);
     settings.resultsKept = Milliseconds(60000);
-    settings.drainTime = Milliseconds(2000);
     return settings;
 }
 
--- /dev/null
+++ b/persimmonlb/relay/relayservice_test.cpp
@@ -0,0 +1,385 @@
+#include <deque>
+#include <memory>
+
+#include <boost/test/unit_test.hpp>
+
+#include "persimmonlb/relay/relayservice.h"
+
+using namespace persimmonlb;
+
+namespace
+{
+
+const ServiceName service{"lm"};
+
+/// Remembers what a caller gets.
+class FakeResponder : public HttpResponder
+{
+public:
+    void respond(HttpResponse response) override
+    {
+        status = response.status;
+        body = response.body;
+        ended = true;
+    }
+    void start(HttpResponseHead head) override
+    {
+        status = head.status;
+    }
+    void write(std::string chunk, std::function<void()> /*written*/) override
+    {
+        body += chunk;
+    }
+    void finish() override
+    {
+        ended = true;
+    }
+    void abort() override
+    {
+        aborted = true;
+    }
+    void onClosed(std::function<void()> closed) override
+    {
+        leave = std::move(closed);
+    }
+
+    std::uint16_t status = 0;
+    std::string body;
+    bool ended = false;
+    bool aborted = false;
+    std::function<void()> leave;
+};
+
+/// One sending, played by the test.
+struct FakeSending {
+    std::string address;
+    HttpRequest request;
+    HttpExchangeHooks hooks;
+    bool closed = false; ///< The relay let go of it.
+};
+
+class FakeExchange : public HttpExchange
+{
+public:
+    explicit FakeExchange(std::shared_ptr<FakeSending> sending)
+        : sending_(std::move(sending))
+    {
+    }
+    ~FakeExchange() override
+    {
+        sending_->closed = true;
+    }
+    FakeExchange(const FakeExchange &) = delete;
+    FakeExchange &operator=(const FakeExchange &) = delete;
+    void pause() override
+    {
+    }
+    void resume() override
+    {
+    }
+
+private:
+    std::shared_ptr<FakeSending> sending_;
+};
+
+std::string event(int id)
+{
+    return "id: " + std::to_string(id) + "\ndata: d\n\n";
+}
+
+struct Bench {
+    Bench()
+    {
+        FleetView view;
+        for (const char *id : {"s1", "s2", "s3"}) {
+            FleetServer server;
+            server.id = ServerId{id};
+            server.bornMs = 1;
+            server.service = service;
+            server.address = std::string(id) + ":80";
+            server.slots = 4;
+            view.servers.push_back(server);
+        }
+        slots.setView(view);
+    }
+
+    Route route(RouteKind kind, bool resumable)
+    {
+        Route made;
+        made.name = "r";
+        made.kind = kind;
+        made.timeout = Milliseconds(5000);
+        made.objective = Milliseconds(300);
+        made.maxAttempts = 2;
+        made.resumable = resumable;
+        made.services = {{service, 1}};
+        return made;
+    }
+    void relay(RouteKind kind, bool resumable = false)
+    {
+        RelayRequest request;
+        request.id = "q";
+        request.route = route(kind, resumable);
+        request.callerWaits = Milliseconds(5000);
+        request.request.method = "POST";
+        relays.relay(request, caller);
+        settle();
+    }
+    /// Runs what was put off.
+    void settle()
+    {
+        while (!put.empty()) {
+            const auto next = std::move(put.front());
+            put.pop_front();
+            next();
+        }
+    }
+    void pass(int ms)
+    {
+        now += Milliseconds(ms);
+        slots.tick();
+        relays.tick();
+        settle();
+    }
+    FakeSending &last()
+    {
+        return *sendings.back();
+    }
+    void head(std::uint16_t status)
+    {
+        last().hooks.head(HttpResponseHead{status, {}});
+        settle();
+    }
+    void chunk(const std::string &bytes)
+    {
+        last().hooks.chunk(bytes);
+        settle();
+    }
+    void end(ResultCode code, SendState state = SendState::Sent)
+    {
+        const auto sending = sendings.back();
+        sending->hooks.end(HttpExchangeEnd{state, code, "test"});
+        settle();
+    }
+
+    MonotonicTime now;
+    std::deque<std::function<void()>> put;
+    std::vector<std::shared_ptr<FakeSending>> sendings;
+    std::vector<std::optional<std::uint64_t>> resumedBehind;
+    Metrics metrics;
+    Clock clock{.monotonic = [this] { return now; },
+                .wall =
+                    [] {
+                        return WallTime();
+                    }};
+    SlotClient slots{
+        SlotClientOptions{.self = HostId{"e"}}, clock, seededRandom(1),
+        SlotClientHooks{.request = [](const HostId &, const SlotRequest &) { return false; },
+                        .end = [](const HostId &, const SlotEnd &) { return false; },
+                        .held = [](const HostId &, const SlotsHeld &) { return false; },
+                        .capacityOf =
+                            [](const ServiceName &) {
+                                return SlotCapacity{4, 0};
+                            },
+                        .isBrokered = [](const ServiceName &) { return false; },
+                        .later =
+                            [this](std::function<void()> fn) {
+                                put.push_back(std::move(fn));
+                            }}};
+    std::shared_ptr<FakeResponder> caller = std::make_shared<FakeResponder>();
+    RelayService relays{
+        RelayOptions{},
+        clock,
+        seededRandom(2),
+        slots,
+        metrics,
+        RelayHooks{
+            .codec
+            = {.encode =
+                   [this](const HttpRequest &request, const RelayAttempt &attempt) {
+                       resumedBehind.push_back(attempt.lastEventId);
+                       return request;
+                   },
+               .classify =
+                   [](const std::string &, const HttpResponseHead &head) {
+                       return head.status == 200 ? AnswerClass::Success
+                           : head.status == 421  ? AnswerClass::NotRun
+                           : head.status == 299  ? AnswerClass::Foreign
+                                                 : AnswerClass::Failure;
+                   },
+               .refusal =
+                   [](const std::string &, const Error &error) {
+                       const bool notRun = error.runState() == RunState::NotRun;
+                       return HttpResponse{static_cast<std::uint16_t>(notRun ? 503 : 502), {}, {}};
+                   }},
+            .send = [this](const std::string &address, HttpRequest request, Milliseconds,
+                           HttpExchangeHooks hooks) -> std::unique_ptr<HttpExchange> {
+                auto sending = std::make_shared<FakeSending>();
+                sending->address = address;
+                sending->request = std::move(request);
+                sending->hooks = std::move(hooks);
+                sendings.push_back(sending);
+                return std::make_unique<FakeExchange>(sending);
+            },
+            .isEngine =
+                [](const ServiceName &) {
+                    return true;
+                }}};
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(RelayServiceTest)
+
+BOOST_AUTO_TEST_CASE(AWholeAnswerIsPassedOn)
+{
+    Bench bench;
+    bench.relay(RouteKind::Safe);
+    bench.head(200);
+    bench.chunk("hello");
+    BOOST_TEST(!bench.caller->ended);
+    bench.end(ResultCode::Ok);
+    BOOST_TEST(bench.caller->status == 200);
+    BOOST_TEST(bench.caller->body == "hello");
+    BOOST_TEST(bench.relays.openRequests() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(ARequestThatDidNotRunGoesToAnotherServerWhateverItsKind)
+{
+    Bench bench;
+    bench.relay(RouteKind::OnceOnly);
+    bench.head(421);
+    bench.end(ResultCode::Ok);
+    BOOST_REQUIRE_EQUAL(bench.sendings.size(), 2U);
+    BOOST_TEST(bench.sendings[0]->address != bench.sendings[1]->address);
+    bench.end(ResultCode::BackendConnectFailed, SendState::NothingSent);
+    BOOST_REQUIRE_EQUAL(bench.sendings.size(), 3U);
+    bench.head(421);
+    bench.end(ResultCode::Ok);
+    // No server is left that was not tried: nothing ran, and the caller is told so.
+    BOOST_TEST(bench.caller->status == 503);
+}
+
+BOOST_AUTO_TEST_CASE(ABrokenOnceOnlyRequestIsNeverSentAgain)
+{
+    Bench bench;
+    bench.relay(RouteKind::OnceOnly);
+    bench.end(ResultCode::BackendFailed);
+    BOOST_TEST(bench.sendings.size() == 1U);
+    BOOST_TEST(bench.caller->status == 502);
+}
+
+BOOST_AUTO_TEST_CASE(ABrokenSafeRequestIsSentAgainWithinItsAttempts)
+{
+    Bench bench;
+    bench.relay(RouteKind::Safe);
+    bench.end(ResultCode::BackendFailed);
+    BOOST_TEST(bench.sendings.size() == 2U);
+    bench.end(ResultCode::BackendFailed);
+    BOOST_TEST(bench.sendings.size() == 2U);
+    BOOST_TEST(bench.caller->status == 502);
+}
+
+BOOST_AUTO_TEST_CASE(AForeignAnswerReachesNobody)
+{
+    Bench bench;
+    bench.relay(RouteKind::Safe);
+    bench.head(299);
+    BOOST_TEST(bench.sendings[0]->closed);
+    BOOST_TEST(bench.sendings.size() == 2U);
+    BOOST_TEST(bench.caller->status == 0);
+}
+
+BOOST_AUTO_TEST_CASE(TheServersOwnFailureIsPassedOnOnceAttemptsAreUsedUp)
+{
+    Bench bench;
+    bench.relay(RouteKind::Safe);
+    bench.head(500);
+    bench.chunk("first");
+    bench.end(ResultCode::Ok);
+    BOOST_REQUIRE_EQUAL(bench.sendings.size(), 2U);
+    bench.head(500);
+    bench.chunk("second");
+    bench.end(ResultCode::Ok);
+    BOOST_TEST(bench.caller->status == 500);
+    BOOST_TEST(bench.caller->body == "second");
+}
+
+BOOST_AUTO_TEST_CASE(AResumableStreamGoesOnBehindItsLastEvent)
+{
+    Bench bench;
+    bench.relay(RouteKind::Streaming, true);
+    bench.head(200);
+    bench.chunk(event(1) + event(2) + "id: 3\nda");
+    bench.end(ResultCode::StreamBroken);
+    BOOST_REQUIRE_EQUAL(bench.sendings.size(), 2U);
+    BOOST_TEST(bench.resumedBehind[1].value_or(0) == 2U);
+    bench.head(200);
+    bench.chunk(event(3));
+    bench.end(ResultCode::Ok);
+    BOOST_TEST(bench.caller->body == event(1) + event(2) + event(3));
+    BOOST_TEST(bench.caller->ended);
+}
+
+BOOST_AUTO_TEST_CASE(AStreamThatMayNotBeResumedIsCutSoThatItCannotLookWhole)
+{
+    Bench bench;
+    bench.relay(RouteKind::Streaming);
+    bench.head(200);
+    bench.chunk(event(1));
+    bench.end(ResultCode::StreamBroken);
+    BOOST_TEST(bench.sendings.size() == 1U);
+    BOOST_TEST(bench.caller->aborted);
+    BOOST_TEST(!bench.caller->ended);
+}
+
+BOOST_AUTO_TEST_CASE(AStreamThatEndsInsideAnEventIsNotWhole)
+{
+    Bench bench;
+    bench.relay(RouteKind::Streaming, true);
+    bench.head(200);
+    bench.chunk(event(1) + "id: 2");
+    bench.end(ResultCode::Ok);
+    BOOST_TEST(bench.sendings.size() == 2U);
+    BOOST_TEST(!bench.caller->ended);
+}
+
+BOOST_AUTO_TEST_CASE(ASilentServerIsLeftForAnotherOne)
+{
+    Bench bench;
+    bench.relay(RouteKind::Streaming, true);
+    bench.pass(850);
+    BOOST_TEST(bench.sendings.size() == 1U);
+    bench.pass(100);
+    BOOST_TEST(bench.sendings[0]->closed);
+    BOOST_TEST(bench.sendings.size() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(ASilentServerKeepsARequestThatMayNotBeRepeated)
+{
+    Bench bench;
+    bench.relay(RouteKind::OnceOnly);
+    bench.pass(4000);
+    BOOST_TEST(bench.sendings.size() == 1U);
+    BOOST_TEST(!bench.sendings[0]->closed);
+}
+
+BOOST_AUTO_TEST_CASE(ACallerThatLeavesEndsTheExchange)
+{
+    Bench bench;
+    bench.relay(RouteKind::Streaming, true);
+    bench.caller->leave();
+    BOOST_TEST(bench.sendings[0]->closed);
+    BOOST_TEST(bench.relays.openRequests() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(WithoutServersTheCallerIsToldAtOnceThatNothingRan)
+{
+    Bench bench;
+    bench.slots.setView(FleetView());
+    bench.relay(RouteKind::Streaming, true);
+    BOOST_TEST(bench.caller->status == 503);
+    BOOST_TEST(bench.sendings.empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
