Members of the group dial each other from their own list

Change: a storage host dials the members that its store names, and the mesh starts before the store opens; reconnection after 100 ms. Test: fleet_loopback_test MembersFindEachOtherWithoutSeeds.

--- a/persimmonlb/fleetnode/fleetnode.cpp
+++ b/persimmonlb/fleetnode/fleetnode.cpp
@@ -20,6 +20,8 @@
 {
 
 constexpr Milliseconds tickInterval{20};
+/// Hosts that start together must find each other before the first election.
+constexpr Milliseconds meshReconnect{100};
 constexpr Milliseconds reportInterval{300}; ///< A fifth of the silence that drops an entry host.
 /// Ten round trips between zones; a server that does not answer a connection is dark.
 constexpr Milliseconds serverConnectTimeout{250};
@@ -75,6 +77,7 @@
     void receive(const HostId &from, PeerMessage message);
     void takeView(const FleetView &view);
     void takeRoutes(const RoutesPush &push);
+    void connectTo(const std::vector<HostId> &hosts);
     void report();
     void tick();
 
@@ -259,6 +262,15 @@
     }
 }
 
+void FleetNode::Parts::connectTo(const std::vector<HostId> &hosts)
+{
+    for (const HostId &host : hosts) {
+        if (host != settings.host) {
+            mesh->addPeer(MeshPeer{host, host.value + ":" + std::to_string(settings.meshPort)});
+        }
+    }
+}
+
 void FleetNode::Parts::report()
 {
     HostReport report;
@@ -285,12 +297,7 @@
     options.self = settings.host;
     options.listenAddress = settings.meshListen;
     options.sharedKey = settings.meshKey;
-    for (const HostId &seed : seedHosts(settings)) {
-        if (seed != settings.host) {
-            options.peers.push_back(
-                MeshPeer{seed, seed.value + ":" + std::to_string(settings.meshPort)});
-        }
-    }
+    options.reconnectInterval = meshReconnect;
     MeshHooks hooks;
     hooks.post = [this](std::function<void()> fn) {
         boost::asio::post(context, std::move(fn));
@@ -323,6 +330,7 @@
         }
     };
     BOOST_LEAF_ASSIGN(mesh, Mesh::start(std::move(options), std::move(hooks)));
+    connectTo(seedHosts(settings));
     return {};
 }
 
@@ -389,10 +397,12 @@
 
 Result<void> FleetNode::start()
 {
+    // Connections are made while the store opens.
+    BOOST_LEAF_CHECK(parts_->startMesh());
     if (parts_->storage) {
         BOOST_LEAF_CHECK(parts_->storage->start());
+        parts_->connectTo(parts_->storage->members());
     }
-    BOOST_LEAF_CHECK(parts_->startMesh());
     BOOST_LEAF_CHECK(parts_->startListeners());
     parts_->timers.every(tickInterval, [parts = parts_.get()] { parts->tick(); });
     parts_->timers.every(reportInterval, [parts = parts_.get()] { parts->report(); });
--- a/persimmonlb/fleetnode/fleetnode_test.cpp
+++ b/persimmonlb/fleetnode/fleetnode_test.cpp
@@ -96,4 +96,19 @@
     BOOST_TEST(fleet.node(9).gateway()->routes()->version() == 7U);
 }
 
+BOOST_AUTO_TEST_CASE(MembersFindEachOtherWithoutSeeds)
+{
+    // After replacements none of the seeds that the settings name needs to be a member.
+    LoopbackFleet fleet;
+    formGroup(fleet);
+    for (const int number : {2, 3, 4}) {
+        fleet.kill(number);
+    }
+    fleet.setSeeds({9});
+    for (const int number : {2, 3, 4}) {
+        fleet.startStore(number, false);
+    }
+    BOOST_TEST(fleet.runUntil([&fleet] { return fleet.leader() != 0; }));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/persimmonlb/fleetnode/storagerole.cpp
+++ b/persimmonlb/fleetnode/storagerole.cpp
@@ -195,6 +195,15 @@
     }
 }
 
+std::vector<HostId> StorageRole::members() const
+{
+    std::vector<HostId> hosts;
+    for (const MemberStatus &member : control_->status().members) {
+        hosts.push_back(hostOfMember(member.host));
+    }
+    return hosts;
+}
+
 bool StorageRole::isLeader() const
 {
     return leads_;
