The group grows to the losses it must bear, and gives up a store that is lost while it joins

Cause: three voters bear one loss; the grown sites ask for two. A joining store whose disk is replaced left the change of members open for ever, so that no further loss was healed. Ruled out: more voters at formation (a fleet is told three seeds). Tests: agreement_test membersAreAdded..., aNewMemberThatIsLost...; fleet_node_test TheGroupGrows..., AStoreThatIsLostWhileItJoins... .

--- a/persimmonlb/agreement/agreement.cpp
+++ b/persimmonlb/agreement/agreement.cpp
@@ -32,6 +32,7 @@
     void propose(std::string command, ProposeDone done);
     void readBarrier(BarrierDone done);
     void replaceMember(const HostId &lost, const HostId &fresh, BarrierDone done);
+    void giveUpFresh();
     [[nodiscard]] GroupStatus status() const;
     [[nodiscard]] bool isLeader() const;
     [[nodiscard]] std::optional<HostId> leader() const;
@@ -259,6 +260,14 @@
     settle();
 }
 
+void Agreement::Implementation::giveUpFresh()
+{
+    if (isLeader()) {
+        memberChange_.giveUpFresh();
+    }
+    settle();
+}
+
 void Agreement::Implementation::replaceMember(const HostId &lost, const HostId &fresh,
                                               BarrierDone done)
 {
@@ -377,6 +386,7 @@
         .lastIndex = core_.lastIndex(),
         .members = {},
         .changeInProgress = configuration.replacement.has_value(),
+        .joining = configuration.replacement ? configuration.replacement->fresh : HostId(),
     };
     for (const Member &member : configuration.members) {
         const bool known = core_.role() == Role::Leader;
@@ -439,6 +449,11 @@
     implementation_->replaceMember(lost, fresh, std::move(done));
 }
 
+void Agreement::giveUpFresh()
+{
+    implementation_->giveUpFresh();
+}
+
 GroupStatus Agreement::status() const
 {
     return implementation_->status();
--- a/persimmonlb/agreement/agreement.h
+++ b/persimmonlb/agreement/agreement.h
@@ -68,7 +68,8 @@
     std::uint64_t appliedIndex = 0;
     std::uint64_t lastIndex = 0;
     std::vector<MemberStatus> members; ///< Empty when the group was never started here.
-    bool changeInProgress = false; ///< A member is being replaced.
+    bool changeInProgress = false; ///< A member is being replaced or added.
+    HostId joining = {}; ///< The member that a change in progress adds.
 
     bool operator==(const GroupStatus &) const = default;
 };
@@ -119,12 +120,17 @@
     /// acknowledged anywhere before this call. Errors: NotLeader, NoQuorum.
     void readBarrier(BarrierDone done);
 
-    /// Replaces a member by a host with an unused data folder and an id that was never a member.
-    /// `done` gets success once the new member votes, the lost one is removed, and the new one
-    /// holds the whole log synced. Errors: NotLeader, MemberChangeInProgress, MalformedRequest;
-    /// NoQuorum when leadership was lost meanwhile: the next leader carries the change on.
+    /// Replaces a member, or adds one when `lost` is empty, by a host with an unused data folder
+    /// and an id that was never a member. `done` gets success once the new member votes, the lost
+    /// one is removed, and the new one holds the whole log synced. Errors: NotLeader,
+    /// MemberChangeInProgress, MalformedRequest; NoQuorum when leadership was lost meanwhile: the
+    /// next leader carries the change on.
     void replaceMember(const HostId &lost, const HostId &fresh, BarrierDone done);
 
+    /// Gives up a replacement whose fresh host does not vote yet: it may have lost its disk. Does
+    /// nothing on a member that does not lead, and while the last change is not committed.
+    void giveUpFresh();
+
     [[nodiscard]] GroupStatus status() const;
     /// True while this member leads and its state holds everything acknowledged before.
     [[nodiscard]] bool isLeader() const;
--- a/persimmonlb/agreement/agreement_test.cpp
+++ b/persimmonlb/agreement/agreement_test.cpp
@@ -472,6 +472,53 @@
     BOOST_TEST(complete);
 }
 
+BOOST_AUTO_TEST_CASE(membersAreAddedSoThatMoreLossesAreBorne)
+{
+    add(d);
+    add(HostId{"e"});
+    BOOST_TEST((codeOf(replace(HostId{}, d)) == ResultCode::Ok));
+    BOOST_TEST((codeOf(replace(HostId{}, HostId{"e"})) == ResultCode::Ok));
+    const GroupStatus status = agreement(leading()).status();
+    BOOST_TEST(status.members.size() == 5U);
+    for (const MemberStatus &member : status.members) {
+        BOOST_TEST(member.voter);
+    }
+    const HostId first = following();
+    crash(first);
+    crash(thirdOf(first, leading()));
+    startCallers();
+    scheduler.runFor(Milliseconds(3000));
+    stopCallers();
+    settle();
+    BOOST_TEST(leader().has_value());
+}
+
+BOOST_AUTO_TEST_CASE(aNewMemberThatIsLostBeforeItVotesIsGivenUp)
+{
+    add(d);
+    add(HostId{"e"});
+    const HostId lost = following();
+    loseDisk(lost);
+    const HostId leads = leading();
+    ResultCode first = ResultCode::Internal;
+    network.cutOneWay(d, leads);
+    agreement(leads).replaceMember(lost, d,
+                                   [&](const Outcome<Done> &outcome) { first = codeOf(outcome); });
+    network.heal();
+    while (agreement(leads).status().members.size() < 4) {
+        scheduler.runFor(Milliseconds(1));
+    }
+    loseDisk(d);
+    settle();
+    BOOST_TEST((agreement(leads).status().joining == d));
+    agreement(leads).giveUpFresh();
+    settle();
+    BOOST_TEST(!agreement(leads).status().changeInProgress);
+    BOOST_TEST((first == ResultCode::PeerUnreachable));
+    BOOST_TEST((codeOf(replace(lost, HostId{"e"})) == ResultCode::Ok));
+    BOOST_TEST(agreement(leads).status().members.size() == 3U);
+}
+
 BOOST_AUTO_TEST_CASE(aProposalWithoutQuorumEndsAsNotKnown)
 {
     const HostId leads = leading();
--- a/persimmonlb/agreement/internal/memberchange.h
+++ b/persimmonlb/agreement/internal/memberchange.h
@@ -21,6 +21,8 @@
                  std::function<void(const Configuration &)> appendConfiguration);
 
     void replace(const HostId &lost, const HostId &fresh, Agreement::BarrierDone done);
+    /// Takes the fresh host out again while it does not vote.
+    void giveUpFresh();
     /// Takes the answer of a host that may not be a member yet.
     void receive(const HostId &from, const AppendReply &reply);
     /// Does the next change when the one before is committed and its condition holds.
--- a/persimmonlb/agreement/memberchange.cpp
+++ b/persimmonlb/agreement/memberchange.cpp
@@ -32,7 +32,7 @@
     if (request_ || configuration.replacement || !settled()) {
         return makeError(ResultCode::MemberChangeInProgress, "another member is being replaced");
     }
-    if (configuration.find(lost) == nullptr) {
+    if (!lost.empty() && configuration.find(lost) == nullptr) {
         return makeError(ResultCode::MalformedRequest, "no member " + lost.value);
     }
     if (fresh.empty() || configuration.find(fresh) != nullptr) {
@@ -113,6 +113,24 @@
     }
 }
 
+void MemberChange::giveUpFresh()
+{
+    const Configuration &configuration = core_.configurations().latest();
+    if (!configuration.replacement || !settled()) {
+        return;
+    }
+    const HostId fresh = configuration.replacement->fresh;
+    if (configuration.isVoter(fresh)) {
+        return;
+    }
+    Configuration without = configuration.without(fresh);
+    without.replacement.reset();
+    if (request_) {
+        answer(makeError(ResultCode::PeerUnreachable, "the new member was given up"));
+    }
+    appendConfiguration_(without);
+}
+
 void MemberChange::tick()
 {
     if (!request_ || request_->invited) {
--- a/persimmonlb/daemon/controlrole.cpp
+++ b/persimmonlb/daemon/controlrole.cpp
@@ -196,6 +196,13 @@
     parts_->agreement->replaceMember(lost, fresh, std::move(done));
 }
 
+void ControlRole::giveUpFresh()
+{
+    if (parts_) {
+        parts_->agreement->giveUpFresh();
+    }
+}
+
 GroupStatus ControlRole::status() const
 {
     return parts_ ? parts_->agreement->status() : GroupStatus();
--- a/persimmonlb/daemon/controlrole.h
+++ b/persimmonlb/daemon/controlrole.h
@@ -55,6 +55,8 @@
     Outcome<Done> initGroup(const std::vector<HostId> &members);
     void replaceMember(const HostId &lost, const HostId &fresh,
                        std::function<void(Outcome<Done>)> done);
+    /// See Agreement::giveUpFresh().
+    void giveUpFresh();
     /// Role, term, leader, positions and members as JSON.
     [[nodiscard]] std::string statusJson() const;
     /// Empty while the role does not run.
--- a/persimmonlb/fleetnode/fleetsettings.cpp
+++ b/persimmonlb/fleetnode/fleetsettings.cpp
@@ -72,6 +72,16 @@
         }
         return static_cast<std::uint16_t>(*value);
     }
+    std::uint32_t count(std::string_view key)
+    {
+        constexpr std::int64_t most = 10;
+        const auto value = root_.at_path(key).value_exact<std::int64_t>();
+        if (!value || *value < 0 || *value > most) {
+            complain(key, "must be a number from 0 to 10");
+            return 0;
+        }
+        return static_cast<std::uint32_t>(*value);
+    }
     bool flag(std::string_view key)
     {
         const auto value = root_.at_path(key).value_exact<bool>();
@@ -140,6 +150,7 @@
     settings.meshKey = reader.text("mesh.key");
     settings.seeds = reader.endpoints("fleet.seeds");
     settings.mayForm = reader.flag("fleet.may_form");
+    settings.lossesBorne = reader.count("fleet.losses_borne");
     settings.answerTtl = reader.duration("fleet.answer_ttl_ms");
     settings.stopGrace = reader.seconds("fleet.stop_grace_s");
     settings.resultsKept = reader.seconds("fleet.results_kept_s");
--- a/persimmonlb/fleetnode/fleetsettings.h
+++ b/persimmonlb/fleetnode/fleetsettings.h
@@ -35,6 +35,7 @@
     std::uint16_t meshPort = 0; ///< The same on every host.
     bool mayForm = false; ///< The whole fleet starts for the first time.
 
+    std::uint32_t lossesBorne = 1; ///< Storage hosts that may be lost at once.
     Milliseconds answerTtl{0}; ///< Of an answer that says where to connect.
     Milliseconds stopGrace{0}; ///< From the request to stop until the process is killed.
     Milliseconds resultsKept{0}; ///< Bulk results stay readable for so long.
--- a/persimmonlb/fleetnode/groupcare.cpp
+++ b/persimmonlb/fleetnode/groupcare.cpp
@@ -35,31 +35,35 @@
     }
 }
 
+bool GroupCare::isLost(const HostId &member, const std::map<HostId, ReportedStore> &stores) const
+{
+    const auto reported = stores.find(hostOfMember(member));
+    if (reported != stores.end() && !reported->second.member.empty()
+        && reported->second.member != member) {
+        return true;
+    }
+    const auto heard = heardAt_.find(member);
+    return heard == heardAt_.end() || clock_.monotonic() - heard->second > options_.voterSilence;
+}
+
 std::optional<HostId> GroupCare::lostVoter(const GroupStatus &status,
                                            const std::map<HostId, ReportedStore> &stores,
                                            const std::set<std::string> &retired) const
 {
-    const MonotonicTime now = clock_.monotonic();
-    std::optional<HostId> silent;
     std::optional<HostId> leaving;
     for (const MemberStatus &member : status.members) {
         if (!member.voter) {
             continue;
         }
-        const auto reported = stores.find(hostOfMember(member.host));
-        const bool known = reported != stores.end();
-        if (known && !reported->second.member.empty() && reported->second.member != member.host) {
+        if (isLost(member.host, stores)) {
             return member.host;
         }
-        const auto heard = heardAt_.find(member.host);
-        if (heard == heardAt_.end() || now - heard->second > options_.voterSilence) {
-            silent = member.host;
-        }
-        if (known && retired.contains(reported->second.store.name)) {
+        const auto reported = stores.find(hostOfMember(member.host));
+        if (reported != stores.end() && retired.contains(reported->second.store.name)) {
             leaving = member.host;
         }
     }
-    return silent ? silent : leaving;
+    return leaving;
 }
 
 GroupAdvice GroupCare::advise(const GroupStatus &status,
@@ -75,6 +79,7 @@
     }
     GroupAdvice advice;
     if (status.changeInProgress) {
+        advice.giveUpJoining = isLost(status.joining, stores);
         return advice;
     }
     std::vector<HostId> fresh;
@@ -91,8 +96,16 @@
             fresh.push_back(store.member);
         }
     }
+    if (fresh.empty()) {
+        return advice;
+    }
     const auto lost = lostVoter(status, stores, retired);
-    if (!lost || fresh.empty()) {
+    if (!lost) {
+        const auto voters = static_cast<std::uint32_t>(
+            std::ranges::count_if(status.members, &MemberStatus::voter));
+        if (voters < 2 * options_.lossesBorne + 1) {
+            advice.swap = MemberSwap{HostId(), fresh.front()};
+        }
         return advice;
     }
     const auto sameHost = std::ranges::find_if(fresh, [&lost](const HostId &member) {
--- a/persimmonlb/fleetnode/groupcare.h
+++ b/persimmonlb/fleetnode/groupcare.h
@@ -19,11 +19,13 @@
     Milliseconds voterSilence{2500};
     /// A store that was heard within this time can take part.
     Milliseconds candidateAge{1000};
+    /// Losses at once that the group must bear; it grows to twice as many voters and one.
+    std::uint32_t lossesBorne = 1;
 };
 
 /// One change of the members that the leader should make now.
 struct MemberSwap {
-    HostId lost;
+    HostId lost; ///< Empty: `fresh` is added.
     HostId fresh;
 
     bool operator==(const MemberSwap &) const = default;
@@ -32,6 +34,8 @@
 /// What the leader should do about the members of its group.
 struct GroupAdvice {
     std::optional<MemberSwap> swap;
+    /// The store that a change in progress adds was lost before it votes.
+    bool giveUpJoining = false;
     /// Hosts whose stores belong to the group no more, and the member ids they go by.
     std::vector<std::pair<HostId, HostId>> removed;
 
@@ -39,8 +43,8 @@
 };
 
 /// Keeps a group at its number of voters without an operator: a voter whose disk was replaced,
-/// that is silent or was asked to retire is replaced by an unused store. One change at a time; the
-/// number of voters never changes. Not thread-safe.
+/// that is silent or was asked to retire is replaced by an unused store, and unused stores are
+/// added until the group bears its losses. One change at a time; it never shrinks. Not thread-safe.
 class GroupCare
 {
 public:
@@ -52,6 +56,9 @@
                        const std::set<std::string> &retired);
 
 private:
+    /// True when nothing was heard of a member for too long, or its host has another store now.
+    [[nodiscard]] bool isLost(const HostId &member,
+                              const std::map<HostId, ReportedStore> &stores) const;
     [[nodiscard]] std::optional<HostId> lostVoter(const GroupStatus &status,
                                                   const std::map<HostId, ReportedStore> &stores,
                                                   const std::set<std::string> &retired) const;
--- a/persimmonlb/fleetnode/groupcare_test.cpp
+++ b/persimmonlb/fleetnode/groupcare_test.cpp
@@ -34,6 +34,14 @@
             stores[HostId{host}].heardAt = now;
         }
     }
+    Clock clock()
+    {
+        return Clock{.monotonic = [this] { return now; },
+                     .wall =
+                         [] {
+                             return WallTime();
+                         }};
+    }
     GroupAdvice advise()
     {
         return care.advise(status, stores, retired);
@@ -90,10 +98,36 @@
 {
     Bench bench;
     bench.hear("h2", "h2#9", true);
+    bench.hear("h4", "h4#1", true);
     bench.status.changeInProgress = true;
+    bench.status.joining = HostId{"h4#1"};
     BOOST_TEST((bench.advise() == GroupAdvice{}));
 }
 
+BOOST_AUTO_TEST_CASE(AStoreThatIsLostWhileItJoinsIsGivenUp)
+{
+    Bench bench;
+    bench.hear("h4", "h4#1", true);
+    bench.status.changeInProgress = true;
+    bench.status.joining = HostId{"h4#1"};
+    BOOST_TEST(!bench.advise().giveUpJoining);
+    bench.hear("h4", "h4#2", true);
+    BOOST_TEST(bench.advise().giveUpJoining);
+}
+
+BOOST_AUTO_TEST_CASE(TheGroupGrowsUntilItBearsItsLosses)
+{
+    Bench bench;
+    bench.hear("h4", "h4#1", true);
+    GroupCare two(GroupCareOptions{.lossesBorne = 2}, bench.clock());
+    two.leadershipBegan(bench.status);
+    const GroupAdvice advice = two.advise(bench.status, bench.stores, bench.retired);
+    BOOST_REQUIRE(advice.swap.has_value());
+    BOOST_TEST(advice.swap->lost.empty());
+    BOOST_TEST(advice.swap->fresh.value == "h4#1");
+    BOOST_TEST(!bench.advise().swap.has_value());
+}
+
 BOOST_AUTO_TEST_CASE(AStoreThatWasReplacedIsToldSo)
 {
     Bench bench;
--- a/persimmonlb/fleetnode/storagerole.cpp
+++ b/persimmonlb/fleetnode/storagerole.cpp
@@ -42,7 +42,7 @@
 StorageRole::StorageRole(StorageRoleDeps deps)
     : deps_(std::move(deps))
     , registry_(FleetRegistryOptions{}, deps_.clock)
-    , care_(GroupCareOptions{}, deps_.clock)
+    , care_(GroupCareOptions{.lossesBorne = deps_.settings.lossesBorne}, deps_.clock)
     , broker_(SlotBrokerOptions{.availabilityZone = deps_.settings.availabilityZone}, deps_.clock,
               deps_.random, brokerHooks())
     , runner_(BulkRunnerOptions{}, deps_.clock, broker_, deps_.metrics, runnerHooks())
@@ -477,6 +477,12 @@
     for (const auto &[host, member] : advice.removed) {
         deps_.send(host, MemberRemoved{member});
     }
+    if (advice.giveUpJoining) {
+        LogLine(LogLevel::Warning, "joining_member_given_up")
+            .add("member", control_->status().joining.value)
+            .write();
+        control_->giveUpFresh();
+    }
     if (!advice.swap) {
         return;
     }
