A time that is up is no failure of the server; refusals tell what decided them

Change: an exchange that ends by its deadline is neutral; silent servers are still left by patience. The broker logs the inputs of each refusal, with the ticket that the entry host's line names. Test: relay_test ATimeThatIsUpIsNoFailureOfTheServer fails without it.

--- a/persimmonlb/relay/internal/relaycall.cpp
+++ b/persimmonlb/relay/internal/relaycall.cpp
@@ -105,7 +105,9 @@
         return;
     }
     if (answer.server.empty()) {
-        Error error = makeError(ResultCode::Overloaded, "no slot in time");
+        Error error = makeError(ResultCode::Overloaded,
+                                "no slot in time, retry after "
+                                    + std::to_string(answer.retryAfter.count()) + " ms");
         error.retryAfter = answer.retryAfter;
         giveUp(error);
         return;
@@ -224,7 +226,10 @@
         return;
     }
     mayHaveRun_ += end.sendState == SendState::Sent ? 1 : 0;
-    attemptFailed(SlotOutcome::Failed, makeError(end.code, end.message));
+    // The time was the caller's or the route's; a server that shows nothing is found by tick().
+    const bool timeIsUp = end.code == ResultCode::DeadlineExceeded;
+    attemptFailed(timeIsUp ? SlotOutcome::Abandoned : SlotOutcome::Failed,
+                  makeError(end.code, end.message));
 }
 
 void RelayService::Call::wholeAnswerArrived()
@@ -393,6 +398,7 @@
             .add("outcome", outcome)
             .add("why", why)
             .add("server", slot_.server.value)
+            .add("ticket", static_cast<std::int64_t>(ticket_))
             .add("attempts", static_cast<std::int64_t>(sends_))
             .add("may_have_run", static_cast<std::int64_t>(mayHaveRun_))
             .add("took_ms", took.count())
--- a/persimmonlb/relay/relayservice_test.cpp
+++ b/persimmonlb/relay/relayservice_test.cpp
@@ -364,6 +364,20 @@
     BOOST_TEST(!bench.sendings[0]->closed);
 }
 
+BOOST_AUTO_TEST_CASE(ATimeThatIsUpIsNoFailureOfTheServer)
+{
+    // A route with a timeout below its servers' work must not rest healthy servers.
+    Bench bench;
+    for (int i = 0; i < 9; ++i) {
+        bench.relay(RouteKind::OnceOnly);
+        bench.end(ResultCode::DeadlineExceeded);
+        bench.caller = std::make_shared<FakeResponder>();
+    }
+    bench.relay(RouteKind::OnceOnly);
+    BOOST_TEST(bench.sendings.size() == 10U);
+    BOOST_TEST(bench.caller->status == 0);
+}
+
 BOOST_AUTO_TEST_CASE(ACallerThatLeavesEndsTheExchange)
 {
     Bench bench;
--- a/persimmonlb/slots/slotbroker.cpp
+++ b/persimmonlb/slots/slotbroker.cpp
@@ -164,7 +164,7 @@
     return best;
 }
 
-Milliseconds SlotBroker::expectedWait(const ServiceName &service, std::size_t ahead) const
+std::uint32_t SlotBroker::usableSlots(const ServiceName &service) const
 {
     std::uint32_t slots = 0;
     for (const auto &[id, server] : servers_) {
@@ -173,6 +173,12 @@
             slots += slotsOf(server);
         }
     }
+    return slots;
+}
+
+Milliseconds SlotBroker::expectedWait(const ServiceName &service, std::size_t ahead) const
+{
+    const std::uint32_t slots = usableSlots(service);
     if (slots == 0) {
         return Milliseconds::max();
     }
@@ -257,6 +263,16 @@
 {
     const auto told = std::max(wait == Milliseconds::max() ? unknownWait : wait, leastRetryAfter);
     const auto base = static_cast<std::uint64_t>(told.count());
+    LogLine(LogLevel::Info, "slot_refused")
+        .add("host", host.value)
+        .add("ticket", static_cast<std::int64_t>(request.ticket))
+        .add("service", request.service.value)
+        .add("start_within_ms", static_cast<std::int64_t>(request.startWithinMs))
+        .add("came_back", request.cameBack ? "yes" : "no")
+        .add("expected_wait_ms", told.count())
+        .add("waiting", static_cast<std::int64_t>(waiting(request.service)))
+        .add("usable_slots", static_cast<std::int64_t>(usableSlots(request.service)))
+        .write();
     hooks_.refuse(host, SlotRefusal{request.ticket, base + random_() % (base / retrySpread + 1)});
 }
 
--- a/persimmonlb/slots/slotbroker.h
+++ b/persimmonlb/slots/slotbroker.h
@@ -155,6 +155,8 @@
     [[nodiscard]] std::uint32_t takenOf(const Server &server) const;
     [[nodiscard]] double costOf(const Server &server, const SlotRequest &request) const;
     [[nodiscard]] Server *bestFor(const SlotRequest &request);
+    /// Of servers that neither drain nor rest, whether taken or free.
+    [[nodiscard]] std::uint32_t usableSlots(const ServiceName &service) const;
     [[nodiscard]] Milliseconds expectedWait(const ServiceName &service, std::size_t ahead) const;
     [[nodiscard]] std::size_t queuedAhead(const Service &service, const SlotRequest &request) const;
     bool tryGrant(const HostId &host, const SlotRequest &request);
