--- a/persimmonlb/fleetnode/fleetnode.cpp
+++ b/persimmonlb/fleetnode/fleetnode.cpp
@@ -20,6 +20,9 @@
 {
 
 constexpr Milliseconds tickInterval{20};
+/// Callers use a connection again until just before the idle time that they are told of, and a host
+/// that stood still must not blame them for it.
+constexpr Milliseconds idleMargin{5000};
 /// Hosts that start together must find each other before the first election.
 constexpr Milliseconds meshReconnect{100};
 constexpr Milliseconds reportInterval{300}; ///< A fifth of the silence that drops an entry host.
@@ -257,6 +260,13 @@
         .add("version", static_cast<std::int64_t>(push.version))
         .add("routes", static_cast<std::int64_t>(parsed.value().routes().size()))
         .write();
+    if (callers) {
+        const CallerLimits &limits = parsed.value().limits();
+        callers->setLimits(HttpServerLimits{.maxBodyBytes = limits.maxBodyBytes,
+                                            .maxHeaderBytes = limits.maxHeaderBytes,
+                                            .headerTimeout = limits.headerTimeout + idleMargin,
+                                            .idleTimeout = limits.idleTimeout + idleMargin});
+    }
     if (gateway) {
         gateway->routesChanged(std::make_shared<const RouteTable>(std::move(parsed.value())));
     }
--- a/persimmonlb/http/server.cpp
+++ b/persimmonlb/http/server.cpp
@@ -171,6 +171,13 @@
     {
         return port_;
     }
+    void setLimits(const HttpServerLimits &limits) override
+    {
+        shared_->options.maxBodyBytes = limits.maxBodyBytes;
+        shared_->options.maxHeaderBytes = limits.maxHeaderBytes;
+        shared_->options.headerTimeout = limits.headerTimeout;
+        shared_->options.idleTimeout = limits.idleTimeout;
+    }
     void closeIdleConnections() override
     {
         shared_->closing = true;
--- a/persimmonlb/http/server.h
+++ b/persimmonlb/http/server.h
@@ -51,6 +51,16 @@
     std::function<HttpResponse()> farewell;
 };
 
+/// The bounds that may change while a server runs; they hold from the next request on.
+struct HttpServerLimits {
+    std::uint64_t maxBodyBytes = 0;
+    std::uint32_t maxHeaderBytes = 0;
+    Milliseconds headerTimeout{0};
+    Milliseconds idleTimeout{0};
+
+    bool operator==(const HttpServerLimits &) const = default;
+};
+
 using HttpHandler
     = std::function<void(HttpRequest request, std::shared_ptr<HttpResponder> responder)>;
 
@@ -71,6 +81,7 @@
     virtual ~HttpServer() = default;
 
     [[nodiscard]] virtual std::uint16_t port() const = 0;
+    virtual void setLimits(const HttpServerLimits &limits) = 0;
     /// From now on each answer carries "Connection: close"; idle connections are closed. One on
     /// which a byte of a request has arrived is not idle: the request is answered first. An idle
     /// one gets the farewell answer, so that a request that crosses it on the wire is told that
--- a/persimmonlb/http/server_test.cpp
+++ b/persimmonlb/http/server_test.cpp
@@ -151,6 +151,22 @@
     fixture.requireOthersServed();
 }
 
+BOOST_AUTO_TEST_CASE(limitsMayChangeWhileItServes)
+{
+    Fixture fixture;
+    RawPeer before = fixture.connect();
+    before.send("POST / HTTP/1.1\r\nContent-Length: 11\r\n\r\n01234567890");
+    fixture.request(0).responder->respond(textAnswer("served"));
+    BOOST_TEST(before.receives("served"));
+    fixture.server->setLimits({.maxBodyBytes = 10,
+                               .maxHeaderBytes = 1000,
+                               .headerTimeout = Milliseconds(1000),
+                               .idleTimeout = Milliseconds(1000)});
+    RawPeer after = fixture.connect();
+    after.send("POST / HTTP/1.1\r\nContent-Length: 11\r\n\r\n01234567890");
+    BOOST_TEST(after.receives("\"code\":102"));
+}
+
 BOOST_AUTO_TEST_CASE(manySmallFieldsInSmallPacketsAreBounded)
 {
     Fixture fixture;
