--- a/persimmonlb/base/linewriter.h
+++ b/persimmonlb/base/linewriter.h
@@ -24,7 +24,7 @@
 public:
     struct Options {
         int descriptor = 1;
-        std::size_t maxWaitingBytes = 1024 * 1024; ///< Some 5,000 lines.
+        std::size_t maxWaitingBytes = 1024UL * 1024; ///< Some 5,000 lines.
         /// Lines that come within this time leave in one write.
         std::chrono::milliseconds gather{20};
         /// At the end, for a reader that takes no more.
--- a/persimmonlb/bulk/bulkrunner_test.cpp
+++ b/persimmonlb/bulk/bulkrunner_test.cpp
@@ -1,9 +1,12 @@
 #include <boost/test/unit_test.hpp>
 
 #include "persimmonlb/bulk/bulkrunner.h"
+#include "persimmonlb/http/testing/fakesending.h"
 #include "persimmonlb/store/memorystore.h"
 
 using namespace persimmonlb;
+using persimmonlb::testing::FakeExchange;
+using persimmonlb::testing::FakeSending;
 
 namespace
 {
@@ -11,35 +14,8 @@
 const ServiceName engine{"lm"};
 const WallTime noon{Milliseconds(1'796'299'200'000)};
 
-struct Sending {
-    HttpRequest request;
-    std::optional<std::uint64_t> behind;
-    HttpExchangeHooks hooks;
-    bool closed = false;
-};
-
-class FakeExchange : public HttpExchange
-{
-public:
-    explicit FakeExchange(std::shared_ptr<Sending> sending)
-        : sending_(std::move(sending))
-    {
-    }
-    ~FakeExchange() override
-    {
-        sending_->closed = true;
-    }
-    FakeExchange(const FakeExchange &) = delete;
-    FakeExchange &operator=(const FakeExchange &) = delete;
-    void pause() override
-    {
-    }
-    void resume() override
-    {
-    }
-
-private:
-    std::shared_ptr<Sending> sending_;
+struct Sending : FakeSending {
+    std::optional<std::uint64_t> behind; ///< The event that it goes on behind.
 };
 
 std::string event(int id)
--- a/persimmonlb/daemon/main.cpp
+++ b/persimmonlb/daemon/main.cpp
@@ -1,14 +1,13 @@
 #include <csignal>
-#include <fstream>
 #include <iostream>
-#include <sstream>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
-#include <tclap/CmdLine.h>
+#include <tclap/ArgException.h>
 
 #include "persimmonlb/base/logline.h"
 #include "persimmonlb/daemon/node.h"
+#include "persimmonlb/daemon/programarguments.h"
 #include "persimmonlb/daemon/settings.h"
 
 namespace
@@ -16,41 +15,18 @@
 
 using namespace persimmonlb;
 
-constexpr int exitFailure = 1;
-constexpr int exitBadSettings = 2;
-
-struct Arguments {
-    std::string settingsFile;
-    bool checkOnly = false;
-};
+constexpr const char *programName = "persimmonlbd";
 
 struct Configuration {
     Settings settings;
     NodeKeys keys;
 };
 
-Arguments parseArguments(int argc, char **argv)
-{
-    TCLAP::CmdLine command("persimmonlbd serves online and batch inference on one fleet. "
-                           "Exit codes: 0 planned stop, 1 failure, 2 wrong settings.",
-                           ' ', "0.1.0");
-    TCLAP::ValueArg<std::string> settings("s", "settings", "Settings file (TOML).", true, "",
-                                          "file", command);
-    TCLAP::SwitchArg check("c", "check-settings", "Check the settings and exit.", command);
-    command.parse(argc, argv);
-    return Arguments{settings.getValue(), check.getValue()};
-}
-
 Result<Configuration> load(const std::string &path)
 {
-    std::ifstream file(path);
-    if (!file) {
-        return fail(ResultCode::SettingsInvalid, "cannot read " + path);
-    }
-    std::ostringstream text;
-    text << file.rdbuf();
+    BOOST_LEAF_AUTO(text, readSettingsFile(path));
     Configuration configuration;
-    BOOST_LEAF_ASSIGN(configuration.settings, parseSettings(text.str()));
+    BOOST_LEAF_ASSIGN(configuration.settings, parseSettings(text));
     const Settings &settings = configuration.settings;
     BOOST_LEAF_ASSIGN(configuration.keys.mesh, readKeyFile(settings.mesh.keyFile));
     BOOST_LEAF_ASSIGN(configuration.keys.operators, readKeyFile(settings.keys.operatorKeyFile));
@@ -58,9 +34,9 @@
     return configuration;
 }
 
-int reportFailure(const Error &error)
+int exitCodeOf(const Error &error)
 {
-    std::cerr << "persimmonlbd: " << describe(error.code).name << ": " << error.message << '\n';
+    reportFailure(programName, error);
     switch (error.code) {
     case ResultCode::SettingsInvalid:
     case ResultCode::AddressInUse:
@@ -91,7 +67,7 @@
     Node node(context, configuration.settings, configuration.keys);
     const Outcome<Done> started = capture([&] { return node.start(); });
     if (!started.ok()) {
-        return reportFailure(started.error());
+        return exitCodeOf(started.error());
     }
     boost::asio::signal_set signals(context, SIGTERM, SIGINT);
     waitForSignals(signals, node);
@@ -105,10 +81,11 @@
 {
     std::signal(SIGPIPE, SIG_IGN);
     try {
-        const Arguments arguments = parseArguments(argc, argv);
+        const ProgramArguments arguments = parseProgramArguments(
+            argc, argv, "persimmonlbd serves online and batch inference on one fleet.");
         const auto configuration = capture([&] { return load(arguments.settingsFile); });
         if (!configuration.ok()) {
-            return reportFailure(configuration.error());
+            return exitCodeOf(configuration.error());
         }
         if (arguments.checkOnly) {
             std::cout << "settings are valid\n";
--- a/persimmonlb/fleetnode/fleetnode.cpp
+++ b/persimmonlb/fleetnode/fleetnode.cpp
@@ -20,6 +20,8 @@
 {
 
 constexpr Milliseconds tickInterval{20};
+/// For calls that a storage host has read to be answered before it stops.
+constexpr Milliseconds storeLinger{400};
 /// Callers use a connection again until just before the idle time that they are told of, and a host
 /// that stood still must not blame them for it.
 constexpr Milliseconds idleMargin{5000};
@@ -427,14 +429,25 @@
 
 void FleetNode::stop()
 {
-    if (parts_->stopping || !parts_->gateway) {
+    const auto end = [parts = parts_.get()] {
         LogLine(LogLevel::Info, "stopped").write();
-        parts_->context.stop();
+        parts->context.stop();
+    };
+    if (parts_->stopping) {
+        end();
         return;
     }
     parts_->stopping = true;
-    parts_->gateway->beginDrain();
-    parts_->report();
+    if (parts_->gateway) {
+        parts_->gateway->beginDrain();
+        parts_->report();
+        return;
+    }
+    for (const auto &listener : parts_->listeners) {
+        listener->stopListening();
+        listener->closeIdleConnections();
+    }
+    parts_->timers.after(storeLinger, end);
 }
 
 void FleetNode::settingsChanged(const FleetSettings &settings)
--- a/persimmonlb/relay/relayservice.h
+++ b/persimmonlb/relay/relayservice.h
@@ -35,7 +35,7 @@
     /// A request that has less of the route's timeout left than this share came before.
     double freshShare = 0.93;
     /// Bytes of an answer that wait for the caller before the server is paused.
-    std::size_t maxUnwritten = 256 * 1024;
+    std::size_t maxUnwritten = 256UL * 1024;
     /// Lines for requests that went well, a second; further ones are counted only.
     std::uint32_t successLinesPerSecond = 20;
 };
--- a/persimmonlb/relay/relayservice_test.cpp
+++ b/persimmonlb/relay/relayservice_test.cpp
@@ -3,9 +3,12 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include "persimmonlb/http/testing/fakesending.h"
 #include "persimmonlb/relay/relayservice.h"
 
 using namespace persimmonlb;
+using persimmonlb::testing::FakeExchange;
+using persimmonlb::testing::FakeSending;
 
 namespace
 {
@@ -50,38 +53,6 @@
     std::function<void()> leave;
 };
 
-/// One sending, played by the test.
-struct FakeSending {
-    std::string address;
-    HttpRequest request;
-    HttpExchangeHooks hooks;
-    bool closed = false; ///< The relay let go of it.
-};
-
-class FakeExchange : public HttpExchange
-{
-public:
-    explicit FakeExchange(std::shared_ptr<FakeSending> sending)
-        : sending_(std::move(sending))
-    {
-    }
-    ~FakeExchange() override
-    {
-        sending_->closed = true;
-    }
-    FakeExchange(const FakeExchange &) = delete;
-    FakeExchange &operator=(const FakeExchange &) = delete;
-    void pause() override
-    {
-    }
-    void resume() override
-    {
-    }
-
-private:
-    std::shared_ptr<FakeSending> sending_;
-};
-
 std::string event(int id)
 {
     return "id: " + std::to_string(id) + "\ndata: d\n\n";
