--- a/persimmonlb/bulk/bulktable_test.cpp
+++ b/persimmonlb/bulk/bulktable_test.cpp
@@ -53,6 +53,17 @@
     {
         BOOST_REQUIRE(capture([&] { return memory.stateStore().write(changes); }).ok());
     }
+    PlainReply recordFailure(std::uint32_t index, std::uint32_t attempt)
+    {
+        return run(&BulkTable::record,
+                   RecordBulk{.id = jobId,
+                              .outcomes = {{.index = index,
+                                            .phase = BulkItemPhase::Waiting,
+                                            .attempt = attempt,
+                                            .fromCount = 0,
+                                            .output = ""}},
+                              .at = noon});
+    }
     PlainReply record(std::uint32_t index, BulkItemPhase phase, const std::string &output,
                       std::uint64_t fromCount = 0)
     {
@@ -105,9 +116,11 @@
 {
     Bench bench;
     bench.run(&BulkTable::accept, makeJob(jobId, 1));
-    bench.record(0, BulkItemPhase::Waiting, "");
+    bench.recordFailure(0, 1);
+    // Proposed again because its reply was late: the same failed run.
+    bench.recordFailure(0, 1);
     BOOST_TEST(bench.table.page({.id = jobId}).results.empty());
-    bench.record(0, BulkItemPhase::Waiting, "");
+    bench.recordFailure(0, 2);
     const BulkPage page = bench.table.page({.id = jobId});
     BOOST_REQUIRE_EQUAL(page.results.size(), 1U);
     BOOST_TEST((page.results[0].phase == BulkItemPhase::DeadLettered));
