--- a/persimmonlb/bulk/bulkrunner.cpp
+++ b/persimmonlb/bulk/bulkrunner.cpp
@@ -330,7 +330,17 @@
             .add("why", why)
             .write();
     }
-    unrecorded_[key] = BulkOutcome{key.index, phase, 0, std::move(output)};
+    const BulkTable *table = hooks_.table();
+    const auto job = table == nullptr ? std::map<JobId, BulkJob>::const_iterator()
+                                      : table->jobs().find(key.job);
+    if (table == nullptr || job == table->jobs().end()) {
+        return;
+    }
+    unrecorded_[key] = BulkOutcome{.index = key.index,
+                                   .phase = phase,
+                                   .attempt = job->second.items[key.index].attempts + 1,
+                                   .fromCount = 0,
+                                   .output = std::move(output)};
     propose(key);
 }
 
--- a/persimmonlb/bulk/bulktable.cpp
+++ b/persimmonlb/bulk/bulktable.cpp
@@ -115,6 +115,9 @@
             output = saved->output + output;
         }
         if (outcome.phase == BulkItemPhase::Waiting) {
+            if (outcome.attempt != item.attempts + 1) {
+                continue;
+            }
             ++item.attempts;
             if (item.attempts < job.maxAttempts) {
                 continue;
--- a/persimmonlb/bulk/bulktable_test.cpp
+++ b/persimmonlb/bulk/bulktable_test.cpp
@@ -67,13 +67,14 @@
     PlainReply record(std::uint32_t index, BulkItemPhase phase, const std::string &output,
                       std::uint64_t fromCount = 0)
     {
-        return run(
-            &BulkTable::record,
-            RecordBulk{
-                .id = jobId,
-                .outcomes
-                = {{.index = index, .phase = phase, .fromCount = fromCount, .output = output}},
-                .at = noon});
+        return run(&BulkTable::record,
+                   RecordBulk{.id = jobId,
+                              .outcomes = {{.index = index,
+                                            .phase = phase,
+                                            .attempt = 0,
+                                            .fromCount = fromCount,
+                                            .output = output}},
+                              .at = noon});
     }
 
     MemoryStore memory;
--- a/persimmonlb/state/command_test.cpp
+++ b/persimmonlb/state/command_test.cpp
@@ -104,6 +104,7 @@
         RecordBulk{.id = {"b1"},
                    .outcomes = {{.index = 1,
                                  .phase = BulkItemPhase::DeadLettered,
+                                 .attempt = 3,
                                  .fromCount = 2,
                                  .output = "a\nb"}},
                    .at = noon},
--- a/persimmonlb/state/fleetcommand.h
+++ b/persimmonlb/state/fleetcommand.h
@@ -68,6 +68,7 @@
 struct BulkOutcome {
     std::uint32_t index = 0;
     BulkItemPhase phase = BulkItemPhase::Waiting;
+    std::uint32_t attempt = 0; ///< Of a failed run: 1 for the first; counted once.
     std::uint64_t fromCount = 0; ///< Events saved before, which `output` follows; 0: it is whole.
     std::string output; ///< Data of the events, separated by line feeds.
 
--- a/persimmonlb/state/fleetfields.h
+++ b/persimmonlb/state/fleetfields.h
@@ -56,6 +56,7 @@
 {
     visitor("index", value.index);
     visitor("phase", value.phase);
+    visitor("attempt", value.attempt);
     visitor("fromCount", value.fromCount);
     visitor("output", value.output);
 }
