--- a/persimmonlb/bulk/bulktable.cpp
+++ b/persimmonlb/bulk/bulktable.cpp
@@ -112,7 +112,7 @@
                          .message = "the output does not follow what is saved"};
                 continue;
             }
-            output = saved->output + output;
+            output.insert(0, saved->output);
         }
         if (outcome.phase == BulkItemPhase::Waiting) {
             if (outcome.attempt != item.attempts + 1) {
@@ -161,7 +161,7 @@
             if (!before || before->count != part.fromCount) {
                 continue;
             }
-            saved.output = before->output + part.output;
+            saved.output.insert(0, before->output);
             saved.fromCount = 0;
         }
         changes.push_back({keys::bulkProgress(part.id, part.index), encodeFields(saved)});
--- a/persimmonlb/bulk/bulktable_test.cpp
+++ b/persimmonlb/bulk/bulktable_test.cpp
@@ -45,7 +45,7 @@
                    const Command &command)
     {
         MutationList changes;
-        const PlainReply reply = (table.*apply)(command, changes);
+        PlainReply reply = (table.*apply)(command, changes);
         write(changes);
         return reply;
     }
--- /dev/null
+++ b/persimmonlb/bulk/bulkupkeep.cpp
@@ -0,0 +1,187 @@
+// The half of BulkRunner that ends runs, saves what they have and gives up what is too old.
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+#include "persimmonlb/base/logline.h"
+#include "persimmonlb/bulk/bulkrunner.h"
+
+namespace persimmonlb
+{
+
+// ---- upkeep -----------------------------------------------------------------------------------
+
+std::optional<BatchRunSlot> BulkRunner::yield(const ServiceName &service)
+{
+    const Key *victim = nullptr;
+    Milliseconds most{0};
+    for (const auto &[key, run] : runs_) {
+        if (run.service != service) {
+            continue;
+        }
+        const Milliseconds slack = slackOf(key, run.dueAt);
+        const bool hopeless = slack.count() < 0;
+        const bool kept
+            = remaining(key) < options_.keptRest || (!hopeless && slack < options_.keptSlack);
+        if (kept) {
+            continue;
+        }
+        const Milliseconds spare = hopeless ? Milliseconds::max() : slack;
+        if (victim == nullptr || spare > most) {
+            victim = &key;
+            most = spare;
+        }
+    }
+    if (victim == nullptr) {
+        return std::nullopt;
+    }
+    const Key key = *victim;
+    const auto found = runs_.find(key);
+    noteSpeed(found->second, progress_[key]);
+    const BatchRunSlot slot = found->second.slot;
+    runs_.erase(found);
+    metrics_.count("persimmonlb_bulk_yields_total", {});
+    return slot;
+}
+
+void BulkRunner::keepOnly(const std::set<ServerId> &usable)
+{
+    std::vector<Key> lost;
+    for (const auto &[key, run] : runs_) {
+        if (!usable.contains(run.slot.server)) {
+            lost.push_back(key);
+        }
+    }
+    for (const Key &key : lost) {
+        endRun(key, SlotOutcome::Abandoned);
+    }
+}
+
+void BulkRunner::stop()
+{
+    runs_.clear();
+    progress_.clear();
+    unrecorded_.clear();
+    proposeAgain_.clear();
+}
+
+void BulkRunner::tick()
+{
+    const BulkTable *table = hooks_.table();
+    if (table == nullptr) {
+        return;
+    }
+    if (table->version() != seenVersion_) {
+        seenVersion_ = table->version();
+        dropEnded(*table);
+    }
+    abandonOld(*table);
+    const MonotonicTime now = clock_.monotonic();
+    if (now >= nextSave_) {
+        nextSave_ = now + options_.saveInterval;
+        saveProgress();
+    }
+    std::vector<Key> silent;
+    for (const auto &[key, run] : runs_) {
+        if (now - run.progressAt > options_.eventPatience) {
+            silent.push_back(key);
+        }
+    }
+    for (const Key &key : silent) {
+        runFailed(key, SlotOutcome::Failed, "the server went silent", Milliseconds(0));
+    }
+    std::vector<Key> again;
+    for (const auto &[key, when] : proposeAgain_) {
+        if (now >= when) {
+            again.push_back(key);
+        }
+    }
+    for (const Key &key : again) {
+        propose(key);
+    }
+}
+
+void BulkRunner::saveProgress()
+{
+    SaveBulkProgress command;
+    command.at = clock_.wall();
+    std::vector<Key> keys;
+    for (auto &[key, progress] : progress_) {
+        const bool enough = progress.count >= progress.savedCount + options_.leastEventsToSave;
+        if (!enough || unrecorded_.contains(key) || !progress.events.lastId()) {
+            continue;
+        }
+        keys.push_back(key);
+        command.parts.push_back({.id = key.job,
+                                 .index = key.index,
+                                 .fromCount = progress.savedCount,
+                                 .count = progress.count,
+                                 .lastEventId = *progress.events.lastId(),
+                                 .output = progress.output.substr(progress.savedBytes)});
+        progress.savedCount = progress.count;
+        progress.savedBytes = progress.output.size();
+    }
+    if (command.parts.empty()) {
+        return;
+    }
+    const std::weak_ptr<bool> alive = alive_;
+    hooks_.propose(command, [this, alive, keys](const Outcome<Reply> &reply) {
+        if (alive.expired() || reply.ok()) {
+            return;
+        }
+        // Whether it was saved is not known: the next time everything is.
+        for (const Key &key : keys) {
+            const auto found = progress_.find(key);
+            if (found != progress_.end()) {
+                found->second.savedCount = 0;
+                found->second.savedBytes = 0;
+            }
+        }
+    });
+}
+
+void BulkRunner::dropEnded(const BulkTable &table)
+{
+    const auto isOver = [&table](const Key &key) {
+        const auto job = table.jobs().find(key.job);
+        return job == table.jobs().end() || job->second.ended
+            || job->second.items[key.index].phase != BulkItemPhase::Waiting;
+    };
+    std::vector<Key> over;
+    for (const auto &[key, run] : runs_) {
+        if (isOver(key)) {
+            over.push_back(key);
+        }
+    }
+    for (const Key &key : over) {
+        endRun(key, SlotOutcome::Abandoned);
+    }
+    std::erase_if(progress_, [&](const auto &entry) { return isOver(entry.first); });
+    std::erase_if(unrecorded_, [&](const auto &entry) { return isOver(entry.first); });
+    std::erase_if(proposeAgain_, [&](const auto &entry) { return isOver(entry.first); });
+}
+
+void BulkRunner::abandonOld(const BulkTable &table)
+{
+    const WallTime now = clock_.wall();
+    std::vector<Key> old;
+    for (const auto &[id, job] : table.jobs()) {
+        if (!job.isOpen() || now < job.abandonAt + options_.abandonMargin) {
+            continue;
+        }
+        for (std::uint32_t index = 0; index < job.items.size(); ++index) {
+            const Key key{id, index};
+            if (job.items[index].phase == BulkItemPhase::Waiting && !unrecorded_.contains(key)) {
+                old.push_back(key);
+            }
+        }
+    }
+    for (const Key &key : old) {
+        if (runs_.contains(key)) {
+            endRun(key, SlotOutcome::Abandoned);
+        }
+        record(key, BulkItemPhase::DeadLettered, {}, "not done in time");
+    }
+}
+
+} // namespace persimmonlb
--- a/persimmonlb/fleetnode/fleetsettings.cpp
+++ b/persimmonlb/fleetnode/fleetsettings.cpp
@@ -34,7 +34,7 @@
     }
     std::string endpoint(std::string_view key, bool required)
     {
-        const std::string value = root_.at_path(key).value_or(std::string());
+        std::string value = root_.at_path(key).value_or(std::string());
         if (value.empty() && !required) {
             return {};
         }
--- /dev/null
+++ b/persimmonlb/fleetnode/storageleading.cpp
@@ -0,0 +1,332 @@
+// The half of StorageRole that leads: servers, views, slots, members, and what operators ask.
+#include <algorithm>
+#include <utility>
+
+#include "persimmonlb/base/logline.h"
+#include "persimmonlb/fleetnode/storagerole.h"
+
+namespace persimmonlb
+{
+
+namespace
+{
+
+constexpr Milliseconds careInterval{100};
+/// For the leader to take an announcement: servers wait a second for the answer.
+constexpr Milliseconds noticeTimeout{700};
+/// A new leader asks engines for what others left running there: for as long as the longest runs
+/// last, as often as it must to follow them.
+constexpr Milliseconds longestRun{7000};
+constexpr Milliseconds loadInterval{700};
+constexpr Milliseconds loadTimeout{500};
+
+} // namespace
+
+// ---- servers ------------------------------------------------------------------------------------
+
+bool StorageRole::applyNotice(const ServerNotice &notice)
+{
+    if (notice.gone) {
+        registry_.serverGone(notice.server.id);
+    } else {
+        registry_.announce(notice.server);
+    }
+    serversChanged();
+    return true;
+}
+
+void StorageRole::serversChanged()
+{
+    if (registry_.version() == pushedRegistry_) {
+        return;
+    }
+    const std::vector<FleetServer> servers = registry_.servers();
+    broker_.setServers(servers, [this](const ServiceName &service) { return capacityOf(service); });
+    std::set<ServerId> usable;
+    for (const FleetServer &server : servers) {
+        if (!server.draining) {
+            usable.insert(server.id);
+        }
+    }
+    runner_.keepOnly(usable);
+    pushView();
+}
+
+void StorageRole::announce(const ServerNotice &notice, std::function<void(bool)> done)
+{
+    if (leads_) {
+        done(applyNotice(notice));
+        return;
+    }
+    const HostId leader = this->leader();
+    ServerNotice passed = notice;
+    passed.requestId = nextNotice_++;
+    if (leader.empty() || leader == deps_.settings.host || !deps_.send(leader, passed)) {
+        done(false);
+        return;
+    }
+    notices_.emplace(passed.requestId,
+                     PendingNotice{std::move(done), deps_.clock.monotonic() + noticeTimeout});
+}
+
+void StorageRole::takeNotice(const HostId &from, const ServerNotice &notice)
+{
+    const bool taken = leads_ && applyNotice(notice);
+    deps_.send(from, ServerNoticeReply{notice.requestId, taken});
+}
+
+SlotCapacity StorageRole::capacityOf(const ServiceName &service) const
+{
+    const RoutedService *known = routes_ ? routes_->findService(service) : nullptr;
+    return known == nullptr ? SlotCapacity{} : SlotCapacity{known->slots, known->cacheTokens};
+}
+
+std::shared_ptr<const RouteTable> StorageRole::routes()
+{
+    const ReplicatedState *state = control_ ? control_->state() : nullptr;
+    if (state == nullptr || state->routes().version == 0) {
+        return nullptr;
+    }
+    if (!routes_ || routes_->version() != state->routes().version) {
+        Outcome<RouteTable> parsed = deps_.face.parseRoutes(state->routes().text);
+        if (!parsed.ok()) {
+            LogLine(LogLevel::Error, "routes_unreadable")
+                .add("version", static_cast<std::int64_t>(state->routes().version))
+                .add("why", parsed.error().message)
+                .write();
+            return routes_;
+        }
+        routes_ = std::make_shared<const RouteTable>(std::move(parsed.value()));
+    }
+    return routes_;
+}
+
+// ---- leading ------------------------------------------------------------------------------------
+
+void StorageRole::leadershipChanged(bool leads)
+{
+    if (leads_ == leads) {
+        return;
+    }
+    leads_ = leads;
+    broker_.reset();
+    if (!leads) {
+        runner_.stop();
+        loadCalls_.clear();
+        return;
+    }
+    adoptFleet();
+    askLoadsUntil_ = deps_.clock.monotonic() + longestRun;
+    care_.leadershipBegan(control_->status());
+    pushedRegistry_ = 0;
+    pushedRoutes_ = 0;
+}
+
+void StorageRole::adoptFleet()
+{
+    const FleetView &last = deps_.lastView();
+    if (last.term > 0) {
+        registry_.adopt(last);
+        return;
+    }
+    // Started lately: servers announce themselves only each second or so.
+    const Outcome<PeerMessage> saved = decodeMessage(control_->state()->savedFleet());
+    const auto *view = saved.ok() ? std::get_if<FleetView>(&saved.value().body) : nullptr;
+    registry_.adopt(view != nullptr ? *view : last);
+}
+
+void StorageRole::saveFleet()
+{
+    FleetView view;
+    view.servers = registry_.servers();
+    for (FleetServer &server : view.servers) {
+        server.sequence = 0;
+    }
+    std::string encoded = encodeMessage(PeerMessage{defaultGroup, std::move(view), {}, {}});
+    if (encoded == savedFleet_) {
+        return;
+    }
+    savedFleet_ = encoded;
+    control_->propose(SaveFleet{std::move(encoded), deps_.clock.wall()},
+                      [this](const Outcome<Reply> &reply) {
+                          if (!reply.ok()) {
+                              savedFleet_.clear();
+                          }
+                      });
+}
+
+FleetView StorageRole::makeView() const
+{
+    FleetView view;
+    view.term = control_->status().term;
+    view.version = registry_.version();
+    view.leader = deps_.settings.host;
+    view.routesVersion = control_->state()->routes().version;
+    view.servers = registry_.servers();
+    view.entries = registry_.entries();
+    view.stores = registry_.stores();
+    return view;
+}
+
+void StorageRole::pushView()
+{
+    pushedRegistry_ = registry_.version();
+    if (leads_) {
+        deps_.sendToAll(makeView());
+    }
+}
+
+void StorageRole::pushRoutes()
+{
+    const RoutesAnswer &inForce = control_->state()->routes();
+    if (inForce.version == pushedRoutes_) {
+        return;
+    }
+    pushedRoutes_ = inForce.version;
+    routes();
+    broker_.setServers(registry_.servers(),
+                       [this](const ServiceName &service) { return capacityOf(service); });
+    deps_.sendToAll(RoutesPush{inForce.version, inForce.text});
+}
+
+void StorageRole::careForGroup()
+{
+    const GroupAdvice advice = care_.advise(control_->status(), registry_.reportedStores(),
+                                            control_->state()->retiredStores());
+    for (const auto &[host, member] : advice.removed) {
+        deps_.send(host, MemberRemoved{member});
+    }
+    if (advice.giveUpJoining) {
+        LogLine(LogLevel::Warning, "joining_member_given_up")
+            .add("member", control_->status().joining.value)
+            .write();
+        control_->giveUpFresh();
+    }
+    if (!advice.swap) {
+        return;
+    }
+    LogLine(LogLevel::Warning, "member_swap_begins")
+        .add("lost", advice.swap->lost.value)
+        .add("fresh", advice.swap->fresh.value)
+        .write();
+    control_->replaceMember(advice.swap->lost, advice.swap->fresh,
+                            [swap = *advice.swap](const Outcome<Done> &outcome) {
+                                LogLine(LogLevel::Info, "member_swap_ended")
+                                    .add("lost", swap.lost.value)
+                                    .add("fresh", swap.fresh.value)
+                                    .add("result", outcome.ok() ? "ok" : outcome.error().message)
+                                    .write();
+                            });
+}
+
+/// Runs that the leader before sent may go on: a server that does not see its sender end keeps
+/// them. Only the servers know, for as long as such a run lasts.
+void StorageRole::askLoads()
+{
+    const MonotonicTime now = deps_.clock.monotonic();
+    if (now >= askLoadsUntil_ || now < nextLoads_) {
+        return;
+    }
+    nextLoads_ = now + loadInterval;
+    const auto table = routes();
+    for (const FleetServer &server : registry_.servers()) {
+        const RoutedService *service = table ? table->findService(server.service) : nullptr;
+        if (service == nullptr || !service->isEngine || server.draining) {
+            continue;
+        }
+        auto body = std::make_shared<std::string>();
+        HttpExchangeHooks hooks;
+        hooks.chunk = [body](const std::string &chunk) {
+            *body += chunk;
+        };
+        hooks.end = [this, body, id = server.id](const HttpExchangeEnd &end) {
+            const auto load = end.code == ResultCode::Ok ? deps_.face.parseLoad(*body)
+                                                         : std::optional<std::uint32_t>();
+            if (load) {
+                broker_.noteLoad(id, *load);
+            }
+        };
+        loadCalls_[server.id] = deps_.client.start(server.address, deps_.face.loadRequest(),
+                                                   loadTimeout, std::move(hooks));
+    }
+}
+
+void StorageRole::leaderTick()
+{
+    pushRoutes();
+    serversChanged();
+    askLoads();
+    broker_.tick();
+    runner_.tick();
+    const MonotonicTime now = deps_.clock.monotonic();
+    if (now >= nextCare_) {
+        nextCare_ = now + careInterval;
+        registry_.tick();
+        saveFleet();
+        careForGroup();
+    }
+}
+
+// ---- retiring -----------------------------------------------------------------------------------
+
+bool StorageRole::isKnownStore(const std::string &name) const
+{
+    return std::ranges::any_of(registry_.reportedStores(), [&name](const auto &entry) {
+        return entry.second.store.name == name;
+    });
+}
+
+void StorageRole::retire(const std::string &name, std::function<void(Outcome<Done>)> done)
+{
+    if (!leads_) {
+        done(makeError(ResultCode::NotLeader, "another host leads"));
+        return;
+    }
+    const auto &retired = control_->state()->retiredStores();
+    if (!isKnownStore(name) && !retired.contains(name)) {
+        done(makeError(ResultCode::NotFound, "no storage host " + name));
+        return;
+    }
+    std::size_t left = 0;
+    const MonotonicTime now = deps_.clock.monotonic();
+    for (const auto &[host, store] : registry_.reportedStores()) {
+        const bool alive = now - store.heardAt < GroupCareOptions{}.voterSilence;
+        const bool stays = store.store.name != name && !retired.contains(store.store.name);
+        left += alive && stays && !store.member.empty() ? 1 : 0;
+    }
+    std::size_t voters = 0;
+    for (const MemberStatus &member : control_->status().members) {
+        voters += member.voter ? 1 : 0;
+    }
+    if (!retired.contains(name) && left < voters) {
+        done(makeError(ResultCode::BelowMinimumReady, "too few storage hosts would be left"));
+        return;
+    }
+    control_->propose(RetireStore{name, deps_.clock.wall()},
+                      [done = std::move(done)](const Outcome<Reply> &reply) {
+                          done(reply.ok() ? Outcome<Done>(Done{}) : Outcome<Done>(reply.error()));
+                      });
+}
+
+Outcome<bool> StorageRole::isRetired(const std::string &name) const
+{
+    if (!leads_) {
+        return makeError(ResultCode::NotLeader, "another host leads");
+    }
+    if (!control_->state()->retiredStores().contains(name)) {
+        return makeError(ResultCode::NotFound, "not asked to leave: " + name);
+    }
+    const GroupStatus status = control_->status();
+    if (status.changeInProgress) {
+        return false;
+    }
+    for (const MemberStatus &member : status.members) {
+        const auto store = registry_.reportedStores().find(hostOfMember(member.host));
+        if (store != registry_.reportedStores().end() && store->second.store.name == name) {
+            return false;
+        }
+    }
+    return true;
+}
+
+} // namespace persimmonlb
--- /dev/null
+++ b/persimmonlb/slots/slotchoice.cpp
@@ -0,0 +1,139 @@
+// The half of SlotBroker that weighs servers.
+#include <algorithm>
+#include <utility>
+
+#include "persimmonlb/slots/slotbroker.h"
+
+namespace persimmonlb
+{
+
+namespace
+{
+
+/// Costs are in milliseconds of an answer's time, from the sites' engine figures.
+constexpr double fullServerCost = 10.0; ///< A full engine against an idle one.
+constexpr double warmTokensPerMs = 100.0; ///< Prompt tokens that an engine reads in a millisecond.
+constexpr double slowServerRatio = 1.3; ///< Of the service's hold; below it a server is not slow.
+constexpr double slowServerCost = 20.0; ///< For each whole multiple above the ratio.
+/// For a server outside of the sender's zone: as much as three slots' difference in load. Bytes
+/// between zones are billed, and such a difference moves the first event by few milliseconds.
+constexpr double otherZoneCost = 4.0;
+constexpr std::size_t warmPartsKept = 1024; ///< Of one server, in each of two generations.
+
+} // namespace
+
+std::uint32_t SlotBroker::slotsOf(const Server &server) const
+{
+    if (server.onTrial) {
+        return 1;
+    }
+    const std::uint32_t announced = server.info.slots;
+    const std::uint32_t configured = server.capacity.slots;
+    if (announced == 0 || configured == 0) {
+        return std::max(announced, configured);
+    }
+    return std::min(announced, configured);
+}
+
+std::uint32_t SlotBroker::takenOf(const Server &server) const
+{
+    const bool recent = clock_.monotonic() < server.foreignUntil;
+    return server.online + server.batch + (recent ? server.foreign : 0);
+}
+
+bool SlotBroker::takes(const Server &server, std::uint64_t tokens) const
+{
+    if (server.info.draining || clock_.monotonic() < server.restsUntil) {
+        return false;
+    }
+    if (takenOf(server) >= slotsOf(server)) {
+        return false;
+    }
+    const std::uint64_t room = server.capacity.cacheTokens;
+    return room == 0 || server.tokens == 0 || server.tokens + tokens <= room;
+}
+
+double SlotBroker::costOf(const Server &server, const SlotRequest &request) const
+{
+    std::uint64_t warm = 0;
+    for (const PromptPart &part : request.prompt) {
+        if (!server.warm.contains(part.key) && !server.warmBefore.contains(part.key)) {
+            break;
+        }
+        warm += part.tokens;
+    }
+    const double slots = std::max(1U, slotsOf(server));
+    double cost
+        = fullServerCost * takenOf(server) / slots - static_cast<double>(warm) / warmTokensPerMs;
+    if (!request.availabilityZone.empty()
+        && server.info.availabilityZone != request.availabilityZone) {
+        cost += otherZoneCost;
+    }
+    const auto service = services_.find(server.info.service);
+    const double usual = service == services_.end() ? 0 : service->second.holdMs;
+    if (usual > 0 && server.holdMs > usual * slowServerRatio) {
+        cost += slowServerCost * (server.holdMs / usual - slowServerRatio);
+    }
+    return cost;
+}
+
+SlotBroker::Server *SlotBroker::bestFor(const SlotRequest &request)
+{
+    Server *best = nullptr;
+    double lowest = 0;
+    std::uint64_t equals = 0;
+    for (auto &[id, server] : servers_) {
+        if (server.info.service != request.service || !takes(server, request.tokens)
+            || std::ranges::find(request.excluded, id) != request.excluded.end()) {
+            continue;
+        }
+        const double cost = costOf(server, request);
+        if (best != nullptr && cost > lowest) {
+            continue;
+        }
+        // Among equals by lot, so that the hosts that choose do not all take the first.
+        equals = best != nullptr && cost == lowest ? equals + 1 : 1;
+        if (equals == 1 || random_() % equals == 0) {
+            best = &server;
+            lowest = cost;
+        }
+    }
+    return best;
+}
+
+void SlotBroker::warmUp(Server &server, const SlotRequest &request)
+{
+    for (const PromptPart &part : request.prompt) {
+        server.warm.insert(part.key);
+    }
+    if (server.warm.size() > warmPartsKept) {
+        server.warmBefore = std::move(server.warm);
+        server.warm.clear();
+    }
+}
+
+std::uint32_t SlotBroker::usableSlots(const ServiceName &service) const
+{
+    std::uint32_t slots = 0;
+    for (const auto &[id, server] : servers_) {
+        const bool resting = clock_.monotonic() < server.restsUntil;
+        if (server.info.service == service && !server.info.draining && !resting) {
+            slots += slotsOf(server);
+        }
+    }
+    return slots;
+}
+
+std::uint32_t SlotBroker::freeSlots(const ServiceName &service) const
+{
+    std::uint32_t free = 0;
+    for (const auto &[id, server] : servers_) {
+        if (server.info.service != service || !takes(server, 0)) {
+            continue;
+        }
+        free += slotsOf(server) - takenOf(server);
+    }
+    return free;
+}
+
+} // namespace persimmonlb
