--- a/persimmonlb/relay/internal/relaycall.cpp
+++ b/persimmonlb/relay/internal/relaycall.cpp
@@ -91,12 +91,12 @@
     slot.tokens = request_.tokens;
     slot.prompt = request_.prompt;
     slot.excluded = tried_;
-    ticket_
-        = service_.slots_.acquire(std::move(slot), [weak = weak_from_this()](SlotAnswer answer) {
-              if (const auto self = weak.lock()) {
-                  self->slotAnswered(answer);
-              }
-          });
+    ticket_ = service_.slots_.acquire(std::move(slot),
+                                      [weak = weak_from_this()](const SlotAnswer &answer) {
+                                          if (const auto self = weak.lock()) {
+                                              self->slotAnswered(answer);
+                                          }
+                                      });
 }
 
 void RelayService::Call::slotAnswered(const SlotAnswer &answer)
@@ -142,9 +142,9 @@
             self->headArrived(std::move(head));
         }
     };
-    hooks.chunk = [weak](std::string chunk) {
+    hooks.chunk = [weak](const std::string &chunk) {
         if (const auto self = weak.lock()) {
-            self->chunkArrived(std::move(chunk));
+            self->chunkArrived(chunk);
         }
     };
     hooks.end = [weak](const HttpExchangeEnd &end) {
@@ -168,7 +168,7 @@
     }
 }
 
-void RelayService::Call::chunkArrived(std::string chunk)
+void RelayService::Call::chunkArrived(std::string_view chunk)
 {
     if (answerClass_ == AnswerClass::Success && streams()) {
         passEvents(chunk);
@@ -291,7 +291,7 @@
     return mayHaveRun_ == 0 || isIdempotent();
 }
 
-void RelayService::Call::attemptFailed(SlotOutcome outcome, Error error)
+void RelayService::Call::attemptFailed(SlotOutcome outcome, const Error &error)
 {
     endAttempt(outcome);
     const bool again = mayTryAgain();
--- a/persimmonlb/relay/internal/relaycall.h
+++ b/persimmonlb/relay/internal/relaycall.h
@@ -31,14 +31,14 @@
     void send();
     HttpExchangeHooks exchangeHooks();
     void headArrived(HttpResponseHead head);
-    void chunkArrived(std::string chunk);
+    void chunkArrived(std::string_view chunk);
     void passEvents(std::string_view chunk);
     void exchangeEnded(const HttpExchangeEnd &end);
     void wholeAnswerArrived();
     void answerComplete();
 
     /// The attempt is over without an answer for the caller: tries again or gives up.
-    void attemptFailed(SlotOutcome outcome, Error error);
+    void attemptFailed(SlotOutcome outcome, const Error &error);
     void endAttempt(SlotOutcome outcome);
     [[nodiscard]] bool mayTryAgain() const;
     /// Gives the caller the server's own failure.
--- a/persimmonlb/relay/relayservice.cpp
+++ b/persimmonlb/relay/relayservice.cpp
@@ -17,7 +17,7 @@
 
 RelayService::RelayService(RelayOptions options, Clock clock, RandomSource random,
                            SlotClient &slots, Metrics &metrics, RelayHooks hooks)
-    : options_(options)
+    : options_(std::move(options))
     , clock_(std::move(clock))
     , random_(std::move(random))
     , slots_(slots)
--- a/persimmonlb/slots/slotbroker.cpp
+++ b/persimmonlb/slots/slotbroker.cpp
@@ -21,7 +21,7 @@
 
 SlotBroker::SlotBroker(SlotBrokerOptions options, Clock clock, RandomSource random,
                        SlotBrokerHooks hooks)
-    : options_(options)
+    : options_(std::move(options))
     , clock_(std::move(clock))
     , random_(std::move(random))
     , hooks_(std::move(hooks))
