A silent run that gave way meanwhile is not ended twice

Cause, found by reading the diff: the tick ends silent runs one after the other; the slot of the first may let a request in that makes the second give way, and the second was then looked up without being there (an exception that ends the process). Test: bulk_runner_test ASilentRunMayGiveWayToARequestThatAnotherOneLetIn fails without the change (map::at).

--- a/persimmonlb/bulk/bulkrunner.cpp
+++ b/persimmonlb/bulk/bulkrunner.cpp
@@ -296,6 +296,10 @@
 void BulkRunner::endRun(const Key &key, SlotOutcome outcome)
 {
     const auto found = runs_.find(key);
+    // A slot that an earlier end freed may have made this run give way.
+    if (found == runs_.end()) {
+        return;
+    }
     const BatchRunSlot slot = found->second.slot;
     runs_.erase(found);
     broker_.batchEnded(slot, outcome);
@@ -304,11 +308,14 @@
 void BulkRunner::runFailed(const Key &key, SlotOutcome outcome, std::string_view why,
                            Milliseconds pause)
 {
-    const Run &run = runs_.at(key);
+    const auto found = runs_.find(key);
+    if (found == runs_.end()) {
+        return;
+    }
     LogLine(LogLevel::Info, "bulk_run_failed")
         .add("job", key.job.value)
         .add("index", static_cast<std::int64_t>(key.index))
-        .add("server", run.slot.server.value)
+        .add("server", found->second.slot.server.value)
         .add("events", static_cast<std::int64_t>(progress_[key].count))
         .add("why", why)
         .write();
--- a/persimmonlb/bulk/bulkrunner_test.cpp
+++ b/persimmonlb/bulk/bulkrunner_test.cpp
@@ -227,6 +227,28 @@
     BOOST_TEST(!bench.runner.yield(engine).has_value());
 }
 
+BOOST_AUTO_TEST_CASE(ASilentRunMayGiveWayToARequestThatAnotherOneLetIn)
+{
+    // Both runs are kept while they can be in time; later one may yield because the other ended.
+    Bench bench;
+    bench.accept("tight", 2, 6400);
+    bench.pass(20);
+    for (std::uint64_t ticket = 1; ticket <= 2; ++ticket) {
+        SlotRequest request;
+        request.ticket = ticket;
+        request.service = engine;
+        request.startWithinMs = 3000;
+        request.giveUpAfterMs = 5000;
+        bench.broker.request(HostId{"e"}, request);
+    }
+    BOOST_TEST(bench.broker.waiting(engine) == 2U);
+    bench.now += Milliseconds(1600);
+    bench.wall += Milliseconds(1600);
+    bench.runner.tick();
+    BOOST_TEST(bench.broker.waiting(engine) == 0U);
+    BOOST_TEST(bench.runner.running() == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(AnotherLeaderGoesOnWhereTheRunWasSaved)
 {
     Bench bench;
--- a/persimmonlb/bulk/bulkupkeep.cpp
+++ b/persimmonlb/bulk/bulkupkeep.cpp
@@ -97,7 +97,9 @@
         }
     }
     for (const Key &key : again) {
-        propose(key);
+        if (unrecorded_.contains(key)) {
+            propose(key);
+        }
     }
 }
 
