--- a/persimmonlb/bulk/bulkrunner.cpp
+++ b/persimmonlb/bulk/bulkrunner.cpp
@@ -187,6 +187,16 @@
     return found == runs_.end() || found->second.number != number ? nullptr : &found->second;
 }
 
+const BulkItem *BulkRunner::itemOf(const Key &key) const
+{
+    const BulkTable *table = hooks_.table();
+    if (table == nullptr) {
+        return nullptr;
+    }
+    const auto job = table->jobs().find(key.job);
+    return job == table->jobs().end() ? nullptr : &job->second.items[key.index];
+}
+
 HttpExchangeHooks BulkRunner::exchangeHooks(const Key &key, std::uint64_t number)
 {
     const std::weak_ptr<bool> alive = alive_;
@@ -196,14 +206,12 @@
         if (run == nullptr) {
             return;
         }
-        const BulkTable *table = hooks_.table();
-        const auto job = table == nullptr ? std::map<JobId, BulkJob>::const_iterator()
-                                          : table->jobs().find(key.job);
-        if (table == nullptr || job == table->jobs().end()) {
+        const BulkItem *item = itemOf(key);
+        if (item == nullptr) {
             return;
         }
         run->status = head.status;
-        run->answerClass = hooks_.codec.classify(job->second.items[key.index].id, head);
+        run->answerClass = hooks_.codec.classify(item->id, head);
     };
     hooks.chunk = [this, alive, key, number](const std::string &chunk) {
         if (!alive.expired()) {
@@ -337,15 +345,13 @@
             .add("why", why)
             .write();
     }
-    const BulkTable *table = hooks_.table();
-    const auto job = table == nullptr ? std::map<JobId, BulkJob>::const_iterator()
-                                      : table->jobs().find(key.job);
-    if (table == nullptr || job == table->jobs().end()) {
+    const BulkItem *item = itemOf(key);
+    if (item == nullptr) {
         return;
     }
     unrecorded_[key] = BulkOutcome{.index = key.index,
                                    .phase = phase,
-                                   .attempt = job->second.items[key.index].attempts + 1,
+                                   .attempt = item->attempts + 1,
                                    .fromCount = 0,
                                    .output = std::move(output)};
     propose(key);
--- a/persimmonlb/bulk/bulkrunner.h
+++ b/persimmonlb/bulk/bulkrunner.h
@@ -126,6 +126,8 @@
     bool start(const BulkTable &table, const Candidate &candidate, const ServiceName &service);
     HttpExchangeHooks exchangeHooks(const Key &key, std::uint64_t number);
     Run *find(const Key &key, std::uint64_t number);
+    /// The item in the replicated state; null while this host does not lead, or when it is gone.
+    [[nodiscard]] const BulkItem *itemOf(const Key &key) const;
     void chunkArrived(const Key &key, std::uint64_t number, std::string_view chunk);
     void exchangeEnded(const Key &key, std::uint64_t number, const HttpExchangeEnd &end);
     void endRun(const Key &key, SlotOutcome outcome);
--- a/persimmonlb/fleetnode/fleetnode.cpp
+++ b/persimmonlb/fleetnode/fleetnode.cpp
@@ -104,7 +104,6 @@
     std::unique_ptr<HttpServer> callers;
     std::vector<std::unique_ptr<HttpServer>> listeners;
     bool stopping = false;
-    int exitCode = 0;
 };
 
 void FleetNode::Parts::makeRoles()
@@ -456,11 +455,6 @@
     startLogging(settings.logLevel);
 }
 
-int FleetNode::exitCode() const
-{
-    return parts_->exitCode;
-}
-
 const FleetSettings &FleetNode::settings() const
 {
     return parts_->settings;
--- a/persimmonlb/fleetnode/fleetnode.h
+++ b/persimmonlb/fleetnode/fleetnode.h
@@ -23,7 +23,6 @@
 ///   FleetNode node(context, settings, [&](FleetNode &self) { return makeFace(self); });
 ///   BOOST_LEAF_CHECK(node.start());
 ///   context.run();
-///   return node.exitCode();
 ///
 /// Used on the thread that runs the context.
 class FleetNode
@@ -41,7 +40,6 @@
     void stop();
     /// Takes settings that were read again; only the log level may change in a life.
     void settingsChanged(const FleetSettings &settings);
-    [[nodiscard]] int exitCode() const;
 
     [[nodiscard]] const FleetSettings &settings() const;
     /// Null on hosts that take no callers.
--- a/persimmonlb/fleetnode/gatewayrole.cpp
+++ b/persimmonlb/fleetnode/gatewayrole.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "persimmonlb/base/logline.h"
+#include "persimmonlb/fleetnode/slotcapacity.h"
 
 namespace persimmonlb
 {
@@ -57,8 +58,7 @@
         return deps_.send(to, held);
     };
     hooks.capacityOf = [this](const ServiceName &service) {
-        const RoutedService *known = routes_ ? routes_->findService(service) : nullptr;
-        return known == nullptr ? SlotCapacity{} : SlotCapacity{known->slots, known->cacheTokens};
+        return slotCapacity(routes_.get(), service);
     };
     hooks.isBrokered = [this](const ServiceName &service) {
         return isEngine(service);
--- a/persimmonlb/fleetnode/storageleading.cpp
+++ b/persimmonlb/fleetnode/storageleading.cpp
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "persimmonlb/base/logline.h"
+#include "persimmonlb/fleetnode/slotcapacity.h"
 #include "persimmonlb/fleetnode/storagerole.h"
 
 namespace persimmonlb
@@ -41,7 +42,9 @@
         return;
     }
     const std::vector<FleetServer> servers = registry_.servers();
-    broker_.setServers(servers, [this](const ServiceName &service) { return capacityOf(service); });
+    broker_.setServers(servers, [this](const ServiceName &service) {
+        return slotCapacity(routes_.get(), service);
+    });
     std::set<ServerId> usable;
     for (const FleetServer &server : servers) {
         if (!server.draining) {
@@ -75,12 +78,6 @@
     deps_.send(from, ServerNoticeReply{notice.requestId, taken});
 }
 
-SlotCapacity StorageRole::capacityOf(const ServiceName &service) const
-{
-    const RoutedService *known = routes_ ? routes_->findService(service) : nullptr;
-    return known == nullptr ? SlotCapacity{} : SlotCapacity{known->slots, known->cacheTokens};
-}
-
 std::shared_ptr<const RouteTable> StorageRole::routes()
 {
     const ReplicatedState *state = control_ ? control_->state() : nullptr;
@@ -184,8 +181,9 @@
     }
     pushedRoutes_ = inForce.version;
     routes();
-    broker_.setServers(registry_.servers(),
-                       [this](const ServiceName &service) { return capacityOf(service); });
+    broker_.setServers(registry_.servers(), [this](const ServiceName &service) {
+        return slotCapacity(routes_.get(), service);
+    });
     deps_.sendToAll(RoutesPush{inForce.version, inForce.text});
 }
 
--- a/persimmonlb/fleetnode/storagerole.cpp
+++ b/persimmonlb/fleetnode/storagerole.cpp
@@ -317,12 +317,14 @@
         leaderTick();
         return;
     }
-    const std::vector<HostId> seeds = seedHosts(deps_.settings);
-    const bool begins = !seeds.empty() && seeds.front() == deps_.settings.host;
-    if (formationTried_ || !deps_.settings.mayForm || !begins) {
+    if (formationTried_ || !deps_.settings.mayForm) {
         return;
     }
     formationTried_ = true;
+    const std::vector<HostId> seeds = seedHosts(deps_.settings);
+    if (seeds.empty() || seeds.front() != deps_.settings.host) {
+        return;
+    }
     const Outcome<Done> formed = control_->initGroup(seeds);
     LogLine(LogLevel::Info, "formation_begun")
         .add("members", static_cast<std::int64_t>(seeds.size()))
--- a/persimmonlb/fleetnode/storagerole.h
+++ b/persimmonlb/fleetnode/storagerole.h
@@ -101,7 +101,6 @@
     void adoptFleet();
     void saveFleet();
     [[nodiscard]] FleetView makeView() const;
-    [[nodiscard]] SlotCapacity capacityOf(const ServiceName &service) const;
     /// The routes in force, parsed when they have changed.
     std::shared_ptr<const RouteTable> routes();
     [[nodiscard]] bool isKnownStore(const std::string &name) const;
