Wall time follows a jump of the time of day at 5 ms a second

Due times and the moment from which an item may be given up were compared with the time of day as the system gives it; a jump by 2 s on the leader (kind clock_step may come on any deployment) gives items up 2 s too early, which the margin of 300 ms does not cover. Ruled out: steady time alone; the times are replicated and must mean the same on another host. Change: SlewedWallClock anchors the wall time to the steady clock and works jumps off at 5 ms a second; it never goes back. Test: SlewedWallClockTest; three of its cases fail when the slew is 5 s a second (as good as none).

--- a/persimmonlb/base/clock.cpp
+++ b/persimmonlb/base/clock.cpp
@@ -2,8 +2,11 @@
 
 #include <ctime>
 #include <memory>
+#include <mutex>
 #include <random>
 
+#include "persimmonlb/base/slewedwallclock.h"
+
 namespace persimmonlb
 {
 
@@ -16,13 +19,28 @@
     return time_point(std::chrono::duration_cast<Microseconds>(sinceBoot));
 }
 
+namespace
+{
+
+struct SharedWallClock {
+    std::mutex mutex;
+    SlewedWallClock clock{[] { return BootClock::now(); },
+                          [] {
+                              return std::chrono::time_point_cast<Milliseconds>(
+                                  std::chrono::system_clock::now());
+                          }};
+};
+
+} // namespace
+
 Clock systemClock()
 {
     return Clock{
         .monotonic = [] { return BootClock::now(); },
         .wall =
-            [] {
-                return std::chrono::time_point_cast<Milliseconds>(std::chrono::system_clock::now());
+            [shared = std::make_shared<SharedWallClock>()] {
+                const std::lock_guard lock(shared->mutex);
+                return shared->clock.now();
             },
     };
 }
--- a/persimmonlb/base/clock.h
+++ b/persimmonlb/base/clock.h
@@ -33,7 +33,8 @@
     std::function<WallTime()> wall;
 };
 
-/// The host's own clocks. Thread-safe.
+/// The host's own clocks; the wall clock follows jumps of the time of day slowly (SlewedWallClock).
+/// Thread-safe.
 Clock systemClock();
 
 /// Source of random 64-bit numbers.
