Requests that crash their servers are stopped after the third one, over the whole fleet

A request that crashes each server that begins it went to maxAttempts servers at every visit, at any host; nothing remembered it. A bulk item of that kind went from server to server until it was too old. Ruled out: Suspects and the replicated quarantine of the native face (a permit through the log for each request that was in flight on a lost server delays the innocent ones, and a crash of a full engine makes eight suspects); a count at each entry host (twelve hosts, three servers each). Change: entry hosts tell the leader of runs that a server broke off, and of answers to suspects; the leader's CrashLedger counts different servers without an answer between, blocks at three for 60 s, then four times as long each time, and tells every host. Blocked requests get 503 with that time, or 502 when this attempt may have run. Bulk items count runs without an event, and rest. A new leader goes on from the last list that it was told.

--- a/persimmonlb/bulk/bulkrunner.cpp
+++ b/persimmonlb/bulk/bulkrunner.cpp
@@ -22,11 +22,12 @@
 
 } // namespace
 
-BulkRunner::BulkRunner(BulkRunnerOptions options, Clock clock, SlotBroker &broker, Metrics &metrics,
-                       BulkRunnerHooks hooks)
+BulkRunner::BulkRunner(BulkRunnerOptions options, Clock clock, SlotBroker &broker,
+                       CrashLedger &crashes, Metrics &metrics, BulkRunnerHooks hooks)
     : options_(options)
     , clock_(std::move(clock))
     , broker_(broker)
+    , crashes_(crashes)
     , metrics_(metrics)
     , hooks_(std::move(hooks))
     , eventsPerItem_(options.initialEvents)
@@ -62,7 +63,9 @@
         return false;
     }
     const auto known = progress_.find(key);
-    return known == progress_.end() || clock_.monotonic() >= known->second.notBefore;
+    return known == progress_.end()
+        || (clock_.monotonic() >= known->second.notBefore
+            && !crashes_.isBlocked(known->second.fingerprint));
 }
 
 std::optional<BulkRunner::Candidate>
@@ -143,6 +146,7 @@
     }
     Progress &progress = progressOf(table, key);
     progress.events.reopen();
+    progress.fingerprint = fingerprintOf(spec->path, spec->body);
     const std::uint64_t number = nextRun_++;
     HttpRequest request
         = hooks_.codec.encode(hooks_.itemRequest(job->second.host, *spec),
@@ -252,10 +256,18 @@
     }
     if (end.code != ResultCode::Ok) {
         const bool unreachable = end.sendState == SendState::NothingSent;
+        // A request that crashes servers does so before its first event; others lose a server that
+        // they used for a while, and go on elsewhere.
+        if (!unreachable && progress_[key].count == run->startedWith) {
+            crashes_.noteBroken(progress_[key].fingerprint, run->slot.server);
+        }
         runFailed(key, unreachable ? SlotOutcome::Unreachable : SlotOutcome::Failed, end.message,
                   Milliseconds(0));
         return;
     }
+    if (run->answerClass == AnswerClass::Success || run->answerClass == AnswerClass::Failure) {
+        crashes_.noteSurvived(progress_[key].fingerprint);
+    }
     switch (run->answerClass) {
     case AnswerClass::NotRun:
         runFailed(key, SlotOutcome::Refused, "the server did not run it", options_.refusalPause);
--- a/persimmonlb/bulk/bulkrunner.h
+++ b/persimmonlb/bulk/bulkrunner.h
@@ -11,6 +11,7 @@
 #include "persimmonlb/base/clock.h"
 #include "persimmonlb/base/metrics.h"
 #include "persimmonlb/bulk/bulktable.h"
+#include "persimmonlb/crashes/crashledger.h"
 #include "persimmonlb/http/client.h"
 #include "persimmonlb/relay/eventreader.h"
 #include "persimmonlb/relay/relayrequest.h"
@@ -65,8 +66,8 @@
 class BulkRunner
 {
 public:
-    BulkRunner(BulkRunnerOptions options, Clock clock, SlotBroker &broker, Metrics &metrics,
-               BulkRunnerHooks hooks);
+    BulkRunner(BulkRunnerOptions options, Clock clock, SlotBroker &broker, CrashLedger &crashes,
+               Metrics &metrics, BulkRunnerHooks hooks);
     BulkRunner(const BulkRunner &) = delete;
     BulkRunner &operator=(const BulkRunner &) = delete;
     ~BulkRunner();
@@ -98,6 +99,7 @@
         std::uint64_t count = 0; ///< Events so far.
         std::uint64_t savedCount = 0; ///< Of these, saved in the replicated state.
         std::size_t savedBytes = 0; ///< Of `output`.
+        std::uint64_t fingerprint = 0; ///< Of the item's request; 0 before its first run.
         MonotonicTime notBefore;
     };
     struct Run {
@@ -144,6 +146,7 @@
     BulkRunnerOptions options_;
     Clock clock_;
     SlotBroker &broker_;
+    CrashLedger &crashes_;
     Metrics &metrics_;
     BulkRunnerHooks hooks_;
     std::map<Key, Run> runs_;
--- a/persimmonlb/bulk/bulkrunner_test.cpp
+++ b/persimmonlb/bulk/bulkrunner_test.cpp
@@ -132,8 +132,13 @@
                             [this](const ServiceName &service) {
                                 runner.startItems(service);
                             }}};
+    CrashLedger crashes{CrashLedgerOptions{}, clock};
     BulkRunner runner{
-        BulkRunnerOptions{}, clock, broker, metrics,
+        BulkRunnerOptions{},
+        clock,
+        broker,
+        crashes,
+        metrics,
         BulkRunnerHooks{
             .table = [this]() -> const BulkTable * { return &table; },
             .routes = [this] { return routes; },
@@ -327,4 +332,33 @@
     BOOST_TEST((bench.results("a")[0].phase == BulkItemPhase::DeadLettered));
 }
 
+BOOST_AUTO_TEST_CASE(AnItemThatCrashesServersRestsUntilItIsTooOld)
+{
+    Bench bench;
+    bench.accept("j", 1);
+    bench.runner.startItems(engine);
+    bench.end(0, ResultCode::BackendFailed);
+    BOOST_TEST(bench.sendings.size() == 2U);
+    for (const char *server : {"s2", "s3"}) {
+        bench.crashes.noteBroken(fingerprintOf("/x", "b"), ServerId{server});
+    }
+    bench.end(1, ResultCode::BackendFailed);
+    bench.pass(30000);
+    bench.runner.startItems(engine);
+    BOOST_TEST(bench.sendings.size() == 2U);
+    bench.pass(33000);
+    BOOST_REQUIRE(bench.results("j").size() == 1U);
+    BOOST_TEST((bench.results("j")[0].phase == BulkItemPhase::DeadLettered));
+}
+
+BOOST_AUTO_TEST_CASE(AnItemThatLosesAServerMidwayIsNoSuspect)
+{
+    Bench bench;
+    bench.accept("j", 1);
+    bench.runner.startItems(engine);
+    bench.answer(0, 200, event(1));
+    bench.end(0, ResultCode::BackendFailed);
+    BOOST_TEST(bench.crashes.suspects().suspects.empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/persimmonlb/fleet/fleetview.h
+++ b/persimmonlb/fleet/fleetview.h
@@ -115,6 +115,36 @@
     bool operator==(const MemberRemoved &) const = default;
 };
 
+// ---- requests that crash servers ----------------------------------------------------------------
+
+/// How a server's run of a request ended, told to the leader by the host that sent it.
+struct RunVerdict {
+    std::uint64_t fingerprint = 0; ///< Of the request, see fingerprintOf().
+    ServerId server;
+    bool broken = false; ///< The server broke it off without an answer; else it answered.
+
+    bool operator==(const RunVerdict &) const = default;
+};
+
+/// A request that servers broke off lately.
+struct CrashSuspect {
+    std::uint64_t fingerprint = 0;
+    std::vector<ServerId> servers; ///< That broke it off since one answered it last.
+    std::uint32_t blocks = 0; ///< Times that it was blocked.
+    std::uint64_t blockedForMs = 0; ///< From the sending on; 0: it may run.
+
+    bool operator==(const CrashSuspect &) const = default;
+};
+
+/// All suspects of a leader, told to every host. A higher (term, version) replaces another.
+struct CrashSuspects {
+    std::uint64_t term = 0; ///< Of the leader.
+    std::uint64_t version = 0; ///< Rises with each change of one leader's list.
+    std::vector<CrashSuspect> suspects;
+
+    bool operator==(const CrashSuspects &) const = default;
+};
+
 // ---- slots ----------------------------------------------------------------------------------
 
 /// One part of a prompt; requests that share it share its place in a server's cache.
--- a/persimmonlb/fleetnode/fleetnode.cpp
+++ b/persimmonlb/fleetnode/fleetnode.cpp
@@ -96,6 +96,7 @@
     std::unique_ptr<HttpClient> client;
     ControlClient control;
     FleetView view;
+    CrashWatch crashes{clock};
     std::uint64_t routesVersion = 0;
     std::set<HostId> connected;
     std::unique_ptr<GatewayRole> gateway;
@@ -116,6 +117,7 @@
             .random = random,
             .metrics = metrics,
             .client = *client,
+            .crashes = crashes,
             .send = [this](const HostId &to, PeerBody body) { return send(to, std::move(body)); },
             .later
             = [this](std::function<void()> fn) { boost::asio::post(context, std::move(fn)); },
@@ -140,6 +142,7 @@
             .random = random,
             .metrics = metrics,
             .client = *client,
+            .crashes = crashes,
             .sendToMember =
                 [this](const HostId &from, const HostId &to, PeerBody body) {
                     return sendMessage(PeerMessage{defaultGroup, std::move(body), from, to},
@@ -205,6 +208,10 @@
         takeRoutes(*pushed);
         return;
     }
+    if (const auto *pushed = std::get_if<CrashSuspects>(&body)) {
+        crashes.take(*pushed);
+        return;
+    }
     if (isOfGateway(body)) {
         if (gateway) {
             gateway->receive(from, body);
--- a/persimmonlb/fleetnode/gatewayrole.cpp
+++ b/persimmonlb/fleetnode/gatewayrole.cpp
@@ -69,17 +69,34 @@
 
 RelayHooks GatewayRole::relayHooks()
 {
-    return RelayHooks{.codec = deps_.face.codec,
-                      .send =
-                          [this](const std::string &address, HttpRequest request,
-                                 Milliseconds deadline, HttpExchangeHooks hooks) {
-                              return deps_.client.start(address, std::move(request), deadline,
-                                                        std::move(hooks));
-                          },
-                      .isEngine =
-                          [this](const ServiceName &service) {
-                              return isEngine(service);
-                          }};
+    return RelayHooks{
+        .codec = deps_.face.codec,
+        .send =
+            [this](const std::string &address, HttpRequest request, Milliseconds deadline,
+                   HttpExchangeHooks hooks) {
+                return deps_.client.start(address, std::move(request), deadline, std::move(hooks));
+            },
+        .isEngine = [this](const ServiceName &service) { return isEngine(service); },
+        .blockedFor
+        = [this](std::uint64_t fingerprint) { return deps_.crashes.blockedFor(fingerprint); },
+        .runEnded =
+            [this](const RunVerdict &verdict) {
+                tellVerdict(verdict);
+            }};
+}
+
+void GatewayRole::tellVerdict(const RunVerdict &verdict)
+{
+    if (!verdict.broken && !deps_.crashes.isSuspect(verdict.fingerprint)) {
+        return;
+    }
+    const bool told = !view_.leader.empty() && deps_.send(view_.leader, verdict);
+    if (!told) {
+        LogLine(LogLevel::Warning, "run_verdict_not_told")
+            .add("server", verdict.server.value)
+            .add("broken", verdict.broken ? "yes" : "no")
+            .write();
+    }
 }
 
 DrainHooks GatewayRole::drainHooks()
--- a/persimmonlb/fleetnode/gatewayrole.h
+++ b/persimmonlb/fleetnode/gatewayrole.h
@@ -7,6 +7,7 @@
 
 #include "persimmonlb/base/clock.h"
 #include "persimmonlb/base/metrics.h"
+#include "persimmonlb/crashes/crashwatch.h"
 #include "persimmonlb/daemon/drain.h"
 #include "persimmonlb/fleet/fleetview.h"
 #include "persimmonlb/fleetnode/fleetface.h"
@@ -26,6 +27,7 @@
     RandomSource random;
     Metrics &metrics;
     HttpClient &client;
+    const CrashWatch &crashes;
     std::function<bool(const HostId &to, PeerBody body)> send;
     std::function<void(std::function<void()>)> later;
     /// Stops listening for callers, and says what is still open.
@@ -65,6 +67,7 @@
     SlotClientHooks slotHooks();
     RelayHooks relayHooks();
     DrainHooks drainHooks();
+    void tellVerdict(const RunVerdict &verdict);
     [[nodiscard]] bool isEngine(const ServiceName &service) const;
     [[nodiscard]] bool listedByLeader() const;
     [[nodiscard]] Milliseconds sinceDrain() const;
--- a/persimmonlb/fleetnode/storageleading.cpp
+++ b/persimmonlb/fleetnode/storageleading.cpp
@@ -20,6 +20,8 @@
 constexpr Milliseconds longestRun{7000};
 constexpr Milliseconds loadInterval{700};
 constexpr Milliseconds loadTimeout{500};
+/// Hosts that connected after the last change of the suspects learn of them within this.
+constexpr Milliseconds crashesInterval{1000};
 
 } // namespace
 
@@ -113,6 +115,7 @@
         return;
     }
     adoptFleet();
+    crashes_.adopt(deps_.crashes.last());
     askLoadsUntil_ = deps_.clock.monotonic() + longestRun;
     care_.leadershipBegan(control_->status());
     pushedRegistry_ = 0;
@@ -187,6 +190,21 @@
     deps_.sendToAll(RoutesPush{inForce.version, inForce.text});
 }
 
+void StorageRole::pushCrashes()
+{
+    crashes_.tick();
+    const MonotonicTime now = deps_.clock.monotonic();
+    const bool changed = crashes_.version() != pushedCrashes_;
+    CrashSuspects told = crashes_.suspects();
+    if (!changed && (told.suspects.empty() || now < nextCrashes_)) {
+        return;
+    }
+    pushedCrashes_ = told.version;
+    nextCrashes_ = now + crashesInterval;
+    told.term = control_->status().term;
+    deps_.sendToAll(told);
+}
+
 void StorageRole::careForGroup()
 {
     const GroupAdvice advice = care_.advise(control_->status(), registry_.reportedStores(),
@@ -261,6 +279,7 @@
         nextCare_ = now + careInterval;
         registry_.tick();
         saveFleet();
+        pushCrashes();
         careForGroup();
     }
 }
--- a/persimmonlb/fleetnode/storagerole.cpp
+++ b/persimmonlb/fleetnode/storagerole.cpp
@@ -36,7 +36,8 @@
     , care_(GroupCareOptions{.lossesBorne = deps_.settings.lossesBorne}, deps_.clock)
     , broker_(SlotBrokerOptions{.availabilityZone = deps_.settings.availabilityZone}, deps_.clock,
               deps_.random, brokerHooks())
-    , runner_(BulkRunnerOptions{}, deps_.clock, broker_, deps_.metrics, runnerHooks())
+    , crashes_(CrashLedgerOptions{}, deps_.clock)
+    , runner_(BulkRunnerOptions{}, deps_.clock, broker_, crashes_, deps_.metrics, runnerHooks())
 {
 }
 
@@ -259,6 +260,14 @@
         }
         return;
     }
+    if (const auto *verdict = std::get_if<RunVerdict>(&body)) {
+        if (leads_ && verdict->broken) {
+            crashes_.noteBroken(verdict->fingerprint, verdict->server);
+        } else if (leads_) {
+            crashes_.noteSurvived(verdict->fingerprint);
+        }
+        return;
+    }
     const bool forOther = !toMember.empty() && toMember != identity_.member;
     if (running_ && !forOther) {
         control_->receive(fromMember.empty() ? from : fromMember, body);
--- a/persimmonlb/fleetnode/storagerole.h
+++ b/persimmonlb/fleetnode/storagerole.h
@@ -13,6 +13,8 @@
 #include "persimmonlb/base/error.h"
 #include "persimmonlb/base/metrics.h"
 #include "persimmonlb/bulk/bulkrunner.h"
+#include "persimmonlb/crashes/crashledger.h"
+#include "persimmonlb/crashes/crashwatch.h"
 #include "persimmonlb/daemon/controlrole.h"
 #include "persimmonlb/fleet/fleetregistry.h"
 #include "persimmonlb/fleetnode/fleetface.h"
@@ -33,6 +35,7 @@
     RandomSource random;
     Metrics &metrics;
     HttpClient &client;
+    const CrashWatch &crashes;
     /// Sends to a host as the member `from`, to the member `to` of the group.
     std::function<bool(const HostId &from, const HostId &to, PeerBody body)> sendToMember;
     std::function<bool(const HostId &to, PeerBody body)> send;
@@ -94,6 +97,7 @@
     void careForGroup();
     void pushView();
     void pushRoutes();
+    void pushCrashes();
     void serversChanged();
     void takeReport(const HostId &from, const HostReport &report);
     void takeNotice(const HostId &from, const ServerNotice &notice);
@@ -115,11 +119,14 @@
     FleetRegistry registry_;
     GroupCare care_;
     SlotBroker broker_;
+    CrashLedger crashes_;
     BulkRunner runner_;
     std::shared_ptr<const RouteTable> routes_;
     std::string savedFleet_; ///< Last proposed, encoded.
     std::uint64_t pushedRegistry_ = 0;
     std::uint64_t pushedRoutes_ = 0;
+    std::uint64_t pushedCrashes_ = 0;
+    MonotonicTime nextCrashes_;
     bool leads_ = false;
     MonotonicTime nextCare_;
     MonotonicTime askLoadsUntil_;
--- a/persimmonlb/relay/internal/relaycall.cpp
+++ b/persimmonlb/relay/internal/relaycall.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "persimmonlb/base/logline.h"
+#include "persimmonlb/crashes/crashledger.h"
 
 namespace persimmonlb
 {
@@ -39,6 +40,7 @@
     , request_(std::move(request))
     , responder_(std::move(responder))
     , serviceName_(chooseService(request_.route, service_.random_()))
+    , fingerprint_(fingerprintOf(request_.request.target, request_.request.body))
     , startedAt_(service_.clock_.monotonic())
     , deadline_(startedAt_ + shorter(request_.callerWaits, request_.route.timeout))
     , progressAt_(startedAt_)
@@ -76,6 +78,14 @@
 void RelayService::Call::acquire()
 {
     stage_ = Stage::Waiting;
+    if (const Milliseconds blocked = service_.hooks_.blockedFor(fingerprint_);
+        blocked.count() > 0) {
+        Error error
+            = makeError(ResultCode::Quarantined, "earlier runs of this request crashed servers");
+        error.retryAfter = blocked;
+        giveUp(error);
+        return;
+    }
     const Milliseconds spent = elapsed(startedAt_, service_.clock_.monotonic());
     const bool engine = service_.hooks_.isEngine(serviceName_);
     const Milliseconds allowance = engine ? service_.options_.firstEventAllowance : Milliseconds(0);
@@ -228,12 +238,24 @@
     mayHaveRun_ += end.sendState == SendState::Sent ? 1 : 0;
     // The time was the caller's or the route's; a server that shows nothing is found by tick().
     const bool timeIsUp = end.code == ResultCode::DeadlineExceeded;
+    if (!timeIsUp && end.sendState == SendState::Sent) {
+        tellVerdict(true);
+    }
     attemptFailed(timeIsUp ? SlotOutcome::Abandoned : SlotOutcome::Failed,
                   makeError(end.code, end.message));
 }
 
+void RelayService::Call::tellVerdict(bool broken)
+{
+    service_.hooks_.runEnded(
+        RunVerdict{.fingerprint = fingerprint_, .server = slot_.server, .broken = broken});
+}
+
 void RelayService::Call::wholeAnswerArrived()
 {
+    if (answerClass_ != AnswerClass::NotRun) {
+        tellVerdict(false);
+    }
     switch (answerClass_) {
     case AnswerClass::NotRun:
         attemptFailed(SlotOutcome::Refused,
--- a/persimmonlb/relay/internal/relaycall.h
+++ b/persimmonlb/relay/internal/relaycall.h
@@ -35,6 +35,7 @@
     void passEvents(std::string_view chunk);
     void exchangeEnded(const HttpExchangeEnd &end);
     void wholeAnswerArrived();
+    void tellVerdict(bool broken);
     void answerComplete();
 
     /// The attempt is over without an answer for the caller: tries again or gives up.
@@ -57,6 +58,7 @@
     RelayRequest request_;
     std::shared_ptr<HttpResponder> responder_;
     ServiceName serviceName_;
+    std::uint64_t fingerprint_;
     MonotonicTime startedAt_;
     MonotonicTime deadline_;
 
--- a/persimmonlb/relay/relayservice.h
+++ b/persimmonlb/relay/relayservice.h
@@ -47,6 +47,10 @@
         send;
     /// True for services whose slots are few and held for long.
     std::function<bool(const ServiceName &)> isEngine;
+    /// For how long the request must not run, because it crashes servers; zero: it may.
+    std::function<Milliseconds(std::uint64_t fingerprint)> blockedFor;
+    /// A server answered a request or broke it off.
+    std::function<void(const RunVerdict &verdict)> runEnded;
 };
 
 /// Passes requests on to servers, and their answers back.
--- a/persimmonlb/relay/relayservice_test.cpp
+++ b/persimmonlb/relay/relayservice_test.cpp
@@ -137,6 +137,8 @@
     std::deque<std::function<void()>> put;
     std::vector<std::shared_ptr<FakeSending>> sendings;
     std::vector<std::optional<std::uint64_t>> resumedBehind;
+    Milliseconds blockedFor{0};
+    std::vector<RunVerdict> verdicts;
     Metrics metrics;
     Clock clock{.monotonic = [this] { return now; },
                 .wall =
@@ -192,9 +194,11 @@
                 sendings.push_back(sending);
                 return std::make_unique<FakeExchange>(sending);
             },
-            .isEngine =
-                [](const ServiceName &) {
-                    return true;
+            .isEngine = [](const ServiceName &) { return true; },
+            .blockedFor = [this](std::uint64_t) { return blockedFor; },
+            .runEnded =
+                [this](const RunVerdict &verdict) {
+                    verdicts.push_back(verdict);
                 }}};
 };
 
@@ -367,4 +371,56 @@
     BOOST_TEST(bench.sendings.empty());
 }
 
+BOOST_AUTO_TEST_CASE(ARequestThatCrashesServersIsRefusedBeforeItIsSent)
+{
+    Bench bench;
+    bench.blockedFor = Milliseconds(60000);
+    bench.relay(RouteKind::Safe);
+    BOOST_TEST(bench.sendings.empty());
+    BOOST_TEST(bench.caller->status == 503);
+}
+
+BOOST_AUTO_TEST_CASE(ARequestThatIsBlockedWhileItRunsIsNotSentAgain)
+{
+    Bench bench;
+    bench.relay(RouteKind::Safe);
+    bench.blockedFor = Milliseconds(60000);
+    bench.end(ResultCode::BackendFailed);
+    BOOST_TEST(bench.sendings.size() == 1U);
+    // It may have run, so the refusal must not say otherwise.
+    BOOST_TEST(bench.caller->status == 502);
+}
+
+BOOST_AUTO_TEST_CASE(TheLeaderIsToldHowRunsEnd)
+{
+    Bench bench;
+    bench.relay(RouteKind::Safe);
+    bench.end(ResultCode::BackendFailed);
+    BOOST_REQUIRE(bench.verdicts.size() == 1U);
+    BOOST_TEST(bench.verdicts[0].broken);
+    bench.head(200);
+    bench.end(ResultCode::Ok);
+    BOOST_REQUIRE(bench.verdicts.size() == 2U);
+    BOOST_TEST(!bench.verdicts[1].broken);
+    BOOST_TEST(bench.verdicts[1].fingerprint == bench.verdicts[0].fingerprint);
+    BOOST_TEST((bench.verdicts[1].server != bench.verdicts[0].server));
+}
+
+BOOST_AUTO_TEST_CASE(ARefusalOfTheServerOrADeadlineSaysNothingOfACrash)
+{
+    Bench refused;
+    refused.relay(RouteKind::Safe);
+    refused.head(421);
+    refused.end(ResultCode::Ok);
+    BOOST_TEST(refused.verdicts.empty());
+    Bench late;
+    late.relay(RouteKind::OnceOnly);
+    late.end(ResultCode::DeadlineExceeded);
+    BOOST_TEST(late.verdicts.empty());
+    Bench unreached;
+    unreached.relay(RouteKind::Safe);
+    unreached.end(ResultCode::BackendConnectFailed, SendState::NothingSent);
+    BOOST_TEST(unreached.verdicts.empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/persimmonlb/wire/internal/messagefields.h
+++ b/persimmonlb/wire/internal/messagefields.h
@@ -382,4 +382,29 @@
     archive.list("s", message.slots);
 }
 
+template <typename Archive>
+void describeFields(Archive &archive, Fields<Archive, RunVerdict> &message)
+{
+    archive.field("f", message.fingerprint);
+    archive.field("s", message.server);
+    archive.field("b", message.broken);
+}
+
+template <typename Archive>
+void describeFields(Archive &archive, Fields<Archive, CrashSuspect> &message)
+{
+    archive.field("f", message.fingerprint);
+    archive.list("s", message.servers);
+    archive.field("b", message.blocks);
+    archive.field("u", message.blockedForMs);
+}
+
+template <typename Archive>
+void describeFields(Archive &archive, Fields<Archive, CrashSuspects> &message)
+{
+    archive.field("t", message.term);
+    archive.field("v", message.version);
+    archive.list("s", message.suspects);
+}
+
 } // namespace persimmonlb::internal
--- a/persimmonlb/wire/message.h
+++ b/persimmonlb/wire/message.h
@@ -212,7 +212,7 @@
                    ProposeRequest, QueryRequest, ControlReply, LeaseRequest, LeaseGrant,
                    ServerDigest, YieldRequest, FleetView, HostReport, RoutesPush, ServerNotice,
                    ServerNoticeReply, MemberRemoved, SlotRequest, SlotGrant, SlotRefusal, SlotEnd,
-                   SlotsHeld, LeaderBeat>;
+                   SlotsHeld, LeaderBeat, RunVerdict, CrashSuspects>;
 
 struct PeerMessage {
     GroupId group = defaultGroup;
--- a/persimmonlb/wire/message_test.cpp
+++ b/persimmonlb/wire/message_test.cpp
@@ -160,6 +160,13 @@
         SlotEnd{.ticket = 1, .outcome = SlotOutcome::Failed, .heldMs = 900},
         SlotsHeld{{{.ticket = 1, .server = {"s1"}, .tokens = 2}}},
         LeaderBeat{.term = 9},
+        RunVerdict{.fingerprint = 10, .server = {"s1"}, .broken = true},
+        CrashSuspects{.term = 9,
+                      .version = 3,
+                      .suspects = {{.fingerprint = 10,
+                                    .servers = {{"s1"}, {"s2"}},
+                                    .blocks = 1,
+                                    .blockedForMs = 60000}}},
     };
     std::vector<PeerMessage> messages;
     messages.reserve(bodies.size());
