An item is given up 2.5 s later than allowed, not 0.3 s

Cause: found by reading. The moment is reckoned on the clock of the host that accepted the job and compared on the leader's; a process that starts while its time of day is 2 s off keeps that for minutes. An item given up early is a false result; one given up late only waits behind all others. Test: WhatIsNotDoneInTimeIsGivenUp now asks that nothing is given up 0.4 s after its time, which failed before.

--- a/persimmonlb/bulk/bulkrunner_test.cpp
+++ b/persimmonlb/bulk/bulkrunner_test.cpp
@@ -328,6 +328,9 @@
     Bench bench;
     bench.accept("a", 1);
     bench.pass(60400);
+    // The clock of the host that accepted the job may have been 2 s off.
+    BOOST_TEST(bench.results("a").empty());
+    bench.pass(2200);
     BOOST_REQUIRE_EQUAL(bench.results("a").size(), 1U);
     BOOST_TEST((bench.results("a")[0].phase == BulkItemPhase::DeadLettered));
 }
