--- a/persimmonlb/serving/testing/fakes.cpp
+++ b/persimmonlb/serving/testing/fakes.cpp
@@ -55,37 +55,6 @@
 
 } // namespace
 
-// ---- VirtualTime ----------------------------------------------------------------------------
-
-Clock VirtualTime::clock()
-{
-    return Clock{[this] { return MonotonicTime(now_); },
-                 [this] {
-                     return WallTime(now_);
-                 }};
-}
-
-void VirtualTime::after(Milliseconds delay, std::function<void()> fn)
-{
-    timers_.emplace(std::pair(now_ + delay, order_++), std::move(fn));
-}
-
-void VirtualTime::run(Milliseconds duration)
-{
-    const Milliseconds end = now_ + duration;
-    while (!timers_.empty() && timers_.begin()->first.first <= end) {
-        auto timer = timers_.extract(timers_.begin());
-        now_ = std::max(now_, timer.key().first);
-        timer.mapped()();
-    }
-    now_ = end;
-}
-
-Milliseconds VirtualTime::now() const
-{
-    return now_;
-}
-
 // ---- FakeLog --------------------------------------------------------------------------------
 
 FakeLog::FakeLog(VirtualTime &time)
--- a/persimmonlb/serving/testing/fakes.h
+++ b/persimmonlb/serving/testing/fakes.h
@@ -16,27 +16,12 @@
 #include "persimmonlb/http/server.h"
 #include "persimmonlb/state/command.h"
 #include "persimmonlb/state/query.h"
+#include "persimmonlb/testing/virtualtime.h"
 
 /// Hand-written fakes in virtual time for tests of the serving path.
 namespace persimmonlb
 {
 
-/// A clock and timers that move only when a test says so.
-class VirtualTime
-{
-public:
-    [[nodiscard]] Clock clock();
-    void after(Milliseconds delay, std::function<void()> fn);
-    /// Runs everything that is due within `duration`.
-    void run(Milliseconds duration);
-    [[nodiscard]] Milliseconds now() const;
-
-private:
-    Milliseconds now_{1000};
-    std::uint64_t order_ = 0;
-    std::map<std::pair<Milliseconds, std::uint64_t>, std::function<void()>> timers_;
-};
-
 /// The replicated log, as far as serving uses it: claims and suspects.
 class FakeLog
 {
