Slot broker: late requests let those ahead that can be in time; the wait is estimated from the slots held

A request that was late already was served before those that could still be in time, and made them late too. And the estimate took slots for coming free evenly, one each 900 ms / 72, though a burst takes them all within a moment and none comes free for 900 ms. Change: of one priority, requests that can still start in time go first; the wait for a place is the expected end of that many held slots. Tests: ABurstThatFillsAllSlotsAtOnce..., InOverloadALateRequestLetsThoseGoAhead... Two tests that filled all slots in one moment and then expected room within 300 ms now fill them in turn, with the same checks.

--- a/persimmonlb/slots/slotbroker.h
+++ b/persimmonlb/slots/slotbroker.h
@@ -143,9 +143,11 @@
     struct Held {
         ServerId server;
         std::uint64_t tokens = 0;
+        MonotonicTime grantedAt;
     };
+    using Queue = std::list<Waiting>;
     struct Service {
-        std::list<Waiting> queue; ///< Ordered by priority and startBy.
+        Queue queue; ///< Ordered by priority and startBy.
         double holdMs = 0;
     };
 
@@ -157,12 +159,17 @@
     [[nodiscard]] Server *bestFor(const SlotRequest &request);
     /// Of servers that neither drain nor rest, whether taken or free.
     [[nodiscard]] std::uint32_t usableSlots(const ServiceName &service) const;
+    [[nodiscard]] Milliseconds usualHold(const ServiceName &service) const;
+    /// Until the slot that is left by those ahead comes free.
     [[nodiscard]] Milliseconds expectedWait(const ServiceName &service, std::size_t ahead) const;
     [[nodiscard]] std::size_t queuedAhead(const Service &service, const SlotRequest &request) const;
     bool tryGrant(const HostId &host, const SlotRequest &request);
     void grant(const HostId &host, const SlotRequest &request, Server &server);
     void refuse(const HostId &host, const SlotRequest &request, Milliseconds wait);
     void enqueue(const HostId &host, const SlotRequest &request);
+    /// In which order to serve: by priority; of one priority those that can still start in time
+    /// first. Serving a late one first would make the next ones late as well.
+    [[nodiscard]] std::vector<Queue::iterator> orderOf(Queue &queue) const;
     void serveQueue(const ServiceName &service);
     void release(const Held &held);
     void releaseBatch(const BatchRunSlot &run);
