A new leader stops the runs that the one before left at engines

Ruled out: that the new leader's count is only late (what engines say is some hundred ms old, compared with the count of now; mended here too, but the requests were there); a move to an address where nothing listens (answered 503, the run goes on); asking all engines at once each 300 ms (no room: 93 of 98 refused). Change: EngineInspector asks engines at the begin of a leadership, as before, and now also for the runs' ids. Items that this host does not run there are orphans: each is moved to an engine with a free slot (which ends the run) and the copy freed; an engine that took one takes the next at once, so a single free slot anywhere empties the fleet within a second. Bulk items start only once none is left, unless they would be late.

--- a/persimmonlb/bulk/bulkrunner.cpp
+++ b/persimmonlb/bulk/bulkrunner.cpp
@@ -162,6 +162,7 @@
                               RelayAttempt{.server = *server,
                                            .timeLeft = Milliseconds(0),
                                            .lastEventId = progress.events.lastId()});
+    noteRun(key, *server);
     Run &run = runs_[key];
     run.service = service;
     run.slot = {*server, tokens};
@@ -311,6 +312,15 @@
     endRun(key, SlotOutcome::Completed);
 }
 
+void BulkRunner::noteRun(const Key &key, const ServerId &server)
+{
+    const auto progress = progress_.find(key);
+    if (progress != progress_.end()) {
+        progress->second.lastServer = server;
+        progress->second.lastRunAt = clock_.monotonic();
+    }
+}
+
 void BulkRunner::noteSpeed(const Run &run, const Progress &progress)
 {
     const std::uint64_t events = progress.count - run.startedWith;
@@ -330,6 +340,7 @@
         return;
     }
     const BatchRunSlot slot = found->second.slot;
+    noteRun(key, slot.server);
     runs_.erase(found);
     broker_.batchEnded(slot, outcome);
 }
--- a/persimmonlb/bulk/bulkrunner.h
+++ b/persimmonlb/bulk/bulkrunner.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "persimmonlb/base/clock.h"
 #include "persimmonlb/base/metrics.h"
@@ -46,6 +47,8 @@
     Milliseconds saveInterval{1000};
     std::uint64_t leastEventsToSave = 24;
     std::size_t maxStartsAtOnce = 16;
+    /// What a server says of its runs may be so old.
+    Milliseconds loadAge{1000};
 };
 
 struct BulkRunnerHooks {
@@ -83,6 +86,10 @@
     std::optional<BatchRunSlot> yield(const ServiceName &service);
     /// Runs on servers that drain or are gone end, to go on elsewhere.
     void keepOnly(const std::set<ServerId> &usable);
+    /// Of the requests with these ids that the server runs, items that it does not run for this
+    /// host: another one sent them, and they are sent again from here.
+    [[nodiscard]] std::vector<std::string> orphansOf(const ServerId &server,
+                                                     const std::vector<std::string> &ids) const;
     /// Ends every run: this host does not lead any more.
     void stop();
     /// Ends runs of ended jobs, gives up what is too old. Call each 20 ms or so.
@@ -106,6 +113,8 @@
         std::size_t savedBytes = 0; ///< Of `output`.
         std::uint64_t fingerprint = 0; ///< Of the item's request; 0 before its first run.
         MonotonicTime notBefore;
+        ServerId lastServer; ///< That ran it for this host.
+        MonotonicTime lastRunAt; ///< When that run began or ended.
     };
     struct Run {
         std::unique_ptr<HttpExchange> exchange;
@@ -150,6 +159,7 @@
     void dropEnded(const BulkTable &table);
     void abandonOld(const BulkTable &table);
     void noteSpeed(const Run &run, const Progress &progress);
+    void noteRun(const Key &key, const ServerId &server);
 
     BulkRunnerOptions options_;
     Clock clock_;
--- a/persimmonlb/bulk/bulkrunner_test.cpp
+++ b/persimmonlb/bulk/bulkrunner_test.cpp
@@ -406,4 +406,24 @@
     BOOST_TEST(bench.crashes.suspects().suspects.empty());
 }
 
+BOOST_AUTO_TEST_CASE(RunsOfItemsThatAnotherLeaderSentAreOrphans)
+{
+    Bench bench;
+    bench.accept("a", 3);
+    bench.pass(20);
+    BOOST_REQUIRE_EQUAL(bench.sendings.size(), 2U);
+    const ServerId here{"s1"};
+    const ServerId elsewhere{"s2"};
+    // a0 and a1 run here for this host, a2 nowhere; x is no item.
+    const std::vector<std::string> runs{"a0", "a2", "x"};
+    BOOST_TEST((bench.runner.orphansOf(here, runs) == std::vector<std::string>{"a2"}));
+    BOOST_TEST((bench.runner.orphansOf(elsewhere, runs) == std::vector<std::string>{"a0", "a2"}));
+    // What a server says is old: a run of ours that gave way just now is none.
+    bench.runner.yield(engine);
+    bench.runner.yield(engine);
+    BOOST_TEST(bench.runner.orphansOf(here, {"a0", "a1"}).empty());
+    bench.now += Milliseconds(1100);
+    BOOST_TEST(bench.runner.orphansOf(here, {"a0", "a1"}).size() == 2U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/persimmonlb/bulk/bulkupkeep.cpp
+++ b/persimmonlb/bulk/bulkupkeep.cpp
@@ -39,6 +39,7 @@
     const auto found = runs_.find(key);
     noteSpeed(found->second, progress_[key]);
     const BatchRunSlot slot = found->second.slot;
+    noteRun(key, slot.server);
     runs_.erase(found);
     metrics_.count("persimmonlb_bulk_yields_total", {});
     return slot;
@@ -57,6 +58,37 @@
     }
 }
 
+std::vector<std::string> BulkRunner::orphansOf(const ServerId &server,
+                                               const std::vector<std::string> &ids) const
+{
+    std::vector<std::string> orphans;
+    const BulkTable *table = hooks_.table();
+    if (table == nullptr || ids.empty()) {
+        return orphans;
+    }
+    const std::set<std::string> wanted(ids.begin(), ids.end());
+    const MonotonicTime now = clock_.monotonic();
+    for (const auto &[id, job] : table->jobs()) {
+        std::uint32_t index = 0;
+        for (const BulkItem &item : job.items) {
+            const Key key{id, index++};
+            if (!wanted.contains(item.id)) {
+                continue;
+            }
+            const auto run = runs_.find(key);
+            const bool ours = run != runs_.end() && run->second.slot.server == server;
+            const auto progress = progress_.find(key);
+            const bool wasOurs = progress != progress_.end()
+                && progress->second.lastServer == server
+                && now - progress->second.lastRunAt < options_.loadAge;
+            if (!ours && !wasOurs) {
+                orphans.push_back(item.id);
+            }
+        }
+    }
+    return orphans;
+}
+
 void BulkRunner::stop()
 {
     runs_.clear();
--- a/persimmonlb/fleetnode/fleetface.h
+++ b/persimmonlb/fleetnode/fleetface.h
@@ -8,6 +8,7 @@
 #include <string_view>
 
 #include "persimmonlb/base/error.h"
+#include "persimmonlb/fleetnode/engineinspector.h"
 #include "persimmonlb/http/server.h"
 #include "persimmonlb/relay/relayrequest.h"
 #include "persimmonlb/routes/routetable.h"
@@ -24,10 +25,12 @@
     /// The request that runs an item of a bulk job.
     std::function<HttpRequest(const std::string &host, const BulkItemSpec &item)> itemRequest;
 
-    /// Asks an engine how much it is doing, and reads the answer: requests that run or wait there,
-    /// whoever sent them. Nothing when the answer is none.
+    /// Asks an engine what it is doing, and reads the answer. Nothing when the answer is none.
     std::function<HttpRequest()> loadRequest;
-    std::function<std::optional<std::uint32_t>(std::string_view body)> parseLoad;
+    std::function<std::optional<EngineLoad>(std::string_view body)> parseLoad;
+    /// See EngineInspectorHooks.
+    std::function<HttpRequest(const std::string &run, const std::string &other)> stopRequest;
+    std::function<std::optional<HttpRequest>(std::string_view body)> releaseRequest;
 
     HttpHandler callers;
     HttpHandler directory;
--- a/persimmonlb/fleetnode/storageleading.cpp
+++ b/persimmonlb/fleetnode/storageleading.cpp
@@ -15,11 +15,6 @@
 constexpr Milliseconds careInterval{100};
 /// For the leader to take an announcement: servers wait a second for the answer.
 constexpr Milliseconds noticeTimeout{700};
-/// A new leader asks engines for what others left running there: for as long as the longest runs
-/// last, as often as it must to follow them.
-constexpr Milliseconds longestRun{7000};
-constexpr Milliseconds loadInterval{700};
-constexpr Milliseconds loadTimeout{500};
 /// Hosts that connected after the last change of the suspects learn of them within this.
 constexpr Milliseconds crashesInterval{1000};
 
@@ -111,12 +106,12 @@
     broker_.reset();
     if (!leads) {
         runner_.stop();
-        loadCalls_.clear();
+        inspector_.end();
         return;
     }
     adoptFleet();
     crashes_.adopt(deps_.crashes.last());
-    askLoadsUntil_ = deps_.clock.monotonic() + longestRun;
+    inspector_.begin();
     care_.leadershipBegan(control_->status());
     pushedRegistry_ = 0;
     pushedRoutes_ = 0;
@@ -235,43 +230,25 @@
                             });
 }
 
-/// Runs that the leader before sent may go on: a server that does not see its sender end keeps
-/// them. Only the servers know, for as long as such a run lasts.
-void StorageRole::askLoads()
+std::vector<InspectedEngine> StorageRole::engines()
 {
-    const MonotonicTime now = deps_.clock.monotonic();
-    if (now >= askLoadsUntil_ || now < nextLoads_) {
-        return;
-    }
-    nextLoads_ = now + loadInterval;
+    std::vector<InspectedEngine> engines;
     const auto table = routes();
     for (const FleetServer &server : registry_.servers()) {
         const RoutedService *service = table ? table->findService(server.service) : nullptr;
         if (service == nullptr || !service->isEngine || server.draining) {
             continue;
         }
-        auto body = std::make_shared<std::string>();
-        HttpExchangeHooks hooks;
-        hooks.chunk = [body](const std::string &chunk) {
-            *body += chunk;
-        };
-        hooks.end = [this, body, id = server.id](const HttpExchangeEnd &end) {
-            const auto load = end.code == ResultCode::Ok ? deps_.face.parseLoad(*body)
-                                                         : std::optional<std::uint32_t>();
-            if (load) {
-                broker_.noteLoad(id, *load);
-            }
-        };
-        loadCalls_[server.id] = deps_.client.start(server.address, deps_.face.loadRequest(),
-                                                   loadTimeout, std::move(hooks));
+        engines.push_back({server.id, server.address, service->stopsRuns});
     }
+    return engines;
 }
 
 void StorageRole::leaderTick()
 {
     pushRoutes();
     serversChanged();
-    askLoads();
+    inspector_.tick();
     broker_.tick();
     runner_.tick();
     const MonotonicTime now = deps_.clock.monotonic();
--- a/persimmonlb/fleetnode/storagerole.cpp
+++ b/persimmonlb/fleetnode/storagerole.cpp
@@ -38,6 +38,7 @@
               deps_.random, brokerHooks())
     , crashes_(CrashLedgerOptions{}, deps_.clock)
     , runner_(BulkRunnerOptions{}, deps_.clock, broker_, crashes_, deps_.metrics, runnerHooks())
+    , inspector_(EngineInspectorOptions{}, deps_.clock, deps_.metrics, inspectorHooks())
 {
 }
 
@@ -75,6 +76,30 @@
             }};
 }
 
+EngineInspectorHooks StorageRole::inspectorHooks()
+{
+    return EngineInspectorHooks{
+        .engines = [this] { return engines(); },
+        .loadRequest = deps_.face.loadRequest,
+        .parseLoad = deps_.face.parseLoad,
+        .stopRequest = deps_.face.stopRequest,
+        .releaseRequest = deps_.face.releaseRequest,
+        .send =
+            [this](const std::string &address, HttpRequest request, Milliseconds deadline,
+                   HttpExchangeHooks hooks) {
+                return deps_.client.start(address, std::move(request), deadline, std::move(hooks));
+            },
+        .noteLoad = [this](const ServerId &engine,
+                           std::uint32_t requests) { broker_.noteLoad(engine, requests); },
+        .orphansOf
+        = [this](const ServerId &engine,
+                 const std::vector<std::string> &runs) { return runner_.orphansOf(engine, runs); },
+        .orphanStopped =
+            [this](const ServerId &engine) {
+                broker_.noteForeignEnd(engine);
+            }};
+}
+
 // ---- the member ---------------------------------------------------------------------------------
 
 Result<void> StorageRole::start()
--- a/persimmonlb/fleetnode/storagerole.h
+++ b/persimmonlb/fleetnode/storagerole.h
@@ -17,6 +17,7 @@
 #include "persimmonlb/crashes/crashwatch.h"
 #include "persimmonlb/daemon/controlrole.h"
 #include "persimmonlb/fleet/fleetregistry.h"
+#include "persimmonlb/fleetnode/engineinspector.h"
 #include "persimmonlb/fleetnode/fleetface.h"
 #include "persimmonlb/fleetnode/fleetsettings.h"
 #include "persimmonlb/fleetnode/groupcare.h"
@@ -93,7 +94,6 @@
     void giveUpStore();
     void leadershipChanged(bool leads);
     void leaderTick();
-    void askLoads();
     void careForGroup();
     void pushView();
     void pushRoutes();
@@ -110,6 +110,8 @@
     [[nodiscard]] bool isKnownStore(const std::string &name) const;
     SlotBrokerHooks brokerHooks();
     BulkRunnerHooks runnerHooks();
+    EngineInspectorHooks inspectorHooks();
+    std::vector<InspectedEngine> engines();
 
     StorageRoleDeps deps_;
     MemberIdentity identity_;
@@ -121,6 +123,7 @@
     SlotBroker broker_;
     CrashLedger crashes_;
     BulkRunner runner_;
+    EngineInspector inspector_;
     std::shared_ptr<const RouteTable> routes_;
     std::string savedFleet_; ///< Last proposed, encoded.
     std::uint64_t pushedRegistry_ = 0;
@@ -129,9 +132,6 @@
     MonotonicTime nextCrashes_;
     bool leads_ = false;
     MonotonicTime nextCare_;
-    MonotonicTime askLoadsUntil_;
-    MonotonicTime nextLoads_;
-    std::map<ServerId, std::unique_ptr<HttpExchange>> loadCalls_;
     std::uint64_t nextNotice_ = 1;
     std::map<std::uint64_t, PendingNotice> notices_;
 };
--- a/persimmonlb/fleetnode/testing/loopbackfleet.cpp
+++ b/persimmonlb/fleetnode/testing/loopbackfleet.cpp
@@ -77,7 +77,13 @@
         return HttpRequest();
     };
     face.parseLoad = [](std::string_view) {
-        return std::optional<std::uint32_t>();
+        return std::optional<EngineLoad>();
+    };
+    face.stopRequest = [](const std::string &, const std::string &) {
+        return HttpRequest();
+    };
+    face.releaseRequest = [](std::string_view) {
+        return std::optional<HttpRequest>();
     };
     face.callers = none;
     face.directory = none;
--- a/persimmonlb/routes/routetable.h
+++ b/persimmonlb/routes/routetable.h
@@ -59,6 +59,7 @@
     bool isEngine = false; ///< Runs requests for tokens in batches.
     std::uint32_t slots = 0; ///< Engines: requests at once.
     std::uint64_t cacheTokens = 0; ///< Engines: tokens that running requests and caches share.
+    bool stopsRuns = false; ///< Engines: end a run by its id when they are asked to.
 
     bool operator==(const RoutedService &) const = default;
 };
--- a/persimmonlb/slots/slotbroker.cpp
+++ b/persimmonlb/slots/slotbroker.cpp
@@ -72,11 +72,35 @@
         return;
     }
     Server &known = found->second;
-    const std::uint32_t ours = known.online + known.batch;
+    notePeak(known);
+    const std::uint32_t ours = std::max(known.peak, known.peakBefore);
     known.foreign = requests > ours ? requests - ours : 0;
     known.foreignUntil = clock_.monotonic() + options_.foreignMemory;
 }
 
+void SlotBroker::noteForeignEnd(const ServerId &server)
+{
+    const auto found = servers_.find(server);
+    if (found == servers_.end() || found->second.foreign == 0) {
+        return;
+    }
+    --found->second.foreign;
+    serveQueue(found->second.info.service);
+}
+
+void SlotBroker::notePeak(Server &server)
+{
+    const MonotonicTime now = clock_.monotonic();
+    const std::uint32_t ours = server.online + server.batch;
+    const auto since = now - server.peakSince;
+    if (since > options_.loadAge) {
+        server.peakBefore = since > 2 * options_.loadAge ? 0 : server.peak;
+        server.peak = 0;
+        server.peakSince = now;
+    }
+    server.peak = std::max(server.peak, ours);
+}
+
 Milliseconds SlotBroker::usualHold(const ServiceName &service) const
 {
     const auto known = services_.find(service);
@@ -166,6 +190,7 @@
 void SlotBroker::grant(const HostId &host, const SlotRequest &request, Server &server)
 {
     ++server.online;
+    notePeak(server);
     server.tokens += request.tokens;
     warmUp(server, request);
     held_[Ticket{host, request.ticket}] = Held{server.info.id, request.tokens, clock_.monotonic()};
@@ -271,6 +296,7 @@
         return;
     }
     Server &server = found->second;
+    notePeak(server);
     server.online -= std::min(server.online, 1U);
     server.tokens -= std::min(server.tokens, held.tokens);
 }
@@ -329,6 +355,7 @@
             continue;
         }
         ++server->second.online;
+        notePeak(server->second);
         server->second.tokens += slot.tokens;
         held_[Ticket{from, slot.ticket}] = Held{slot.server, slot.tokens, clock_.monotonic()};
     }
@@ -374,8 +401,16 @@
         return std::nullopt;
     }
     std::uint32_t slots = 0;
+    std::uint32_t foreign = 0;
     for (const auto &[id, server] : servers_) {
-        slots += server.info.service == service ? slotsOf(server) : 0;
+        if (server.info.service == service) {
+            slots += slotsOf(server);
+            foreign += foreignOf(server);
+        }
+    }
+    // What the leader before left running is stopped by moving it, and a move needs room.
+    if (!urgent && foreign > 0) {
+        return std::nullopt;
     }
     const auto reserve = static_cast<std::uint32_t>(std::ceil(options_.batchReserve * slots));
     if (!urgent && freeSlots(service) <= reserve) {
@@ -390,6 +425,7 @@
         return std::nullopt;
     }
     ++server->batch;
+    notePeak(*server);
     server->tokens += tokens;
     return server->info.id;
 }
@@ -400,6 +436,7 @@
     if (found == servers_.end()) {
         return;
     }
+    notePeak(found->second);
     found->second.batch -= std::min(found->second.batch, 1U);
     found->second.tokens -= std::min(found->second.tokens, run.tokens);
 }
--- a/persimmonlb/slots/slotbroker.h
+++ b/persimmonlb/slots/slotbroker.h
@@ -33,6 +33,7 @@
     Milliseconds refusalRest{40};
     /// What a server says of requests that nobody here sent holds for so long.
     Milliseconds foreignMemory{1200};
+    Milliseconds loadAge{400}; ///< "Some hundred milliseconds" by the platform's page.
     std::uint32_t failuresUntilRest = 2; ///< In a row; one alone may be the request's fault.
     std::size_t maxQueued = 4096; ///< Requests that wait, of all services.
 };
@@ -103,6 +104,8 @@
     /// A server says how many requests run or wait there, whoever sent them: what is not known here
     /// was sent by a broker or an entry host that is gone, and takes up slots for a while.
     void noteLoad(const ServerId &server, std::uint32_t requests);
+    /// A request that nobody here sent was ended.
+    void noteForeignEnd(const ServerId &server);
     /// Address of a server, or empty.
     [[nodiscard]] std::string addressOf(const ServerId &server) const;
 
@@ -118,6 +121,11 @@
         std::uint32_t online = 0;
         std::uint32_t batch = 0;
         std::uint32_t foreign = 0; ///< Requests of senders that are gone.
+        /// Most requests of ours in the present and the last part of `loadAge`: what a server says
+        /// is as old as that.
+        std::uint32_t peak = 0;
+        std::uint32_t peakBefore = 0;
+        MonotonicTime peakSince;
         MonotonicTime foreignUntil;
         std::uint64_t tokens = 0;
         std::uint32_t failures = 0; ///< In a row.
@@ -153,6 +161,8 @@
 
     [[nodiscard]] bool takes(const Server &server, std::uint64_t tokens) const;
     [[nodiscard]] std::uint32_t slotsOf(const Server &server) const;
+    /// Requests of senders that are gone, as far as it is known.
+    [[nodiscard]] std::uint32_t foreignOf(const Server &server) const;
     /// Slots that are taken, by anybody.
     [[nodiscard]] std::uint32_t takenOf(const Server &server) const;
     [[nodiscard]] double costOf(const Server &server, const SlotRequest &request) const;
@@ -173,6 +183,8 @@
     void serveQueue(const ServiceName &service);
     void release(const Held &held);
     void releaseBatch(const BatchRunSlot &run);
+    /// Call before and after each change of a server's requests.
+    void notePeak(Server &server);
     void noteOutcome(Server &server, SlotOutcome outcome);
     void noteHold(Server &server, double heldMs);
     static void warmUp(Server &server, const SlotRequest &request);
--- a/persimmonlb/slots/slotbroker_test.cpp
+++ b/persimmonlb/slots/slotbroker_test.cpp
@@ -282,6 +282,37 @@
     BOOST_TEST(bench.grants.size() == 2U);
 }
 
+BOOST_AUTO_TEST_CASE(WhatAServerSaysIsAsOldAsItsRequestsOfThen)
+{
+    Bench bench(1);
+    bench.fillInTurn(2, 0);
+    bench.pass(100);
+    bench.broker.end(entry, SlotEnd{.ticket = 1, .heldMs = 100});
+    bench.broker.end(entry, SlotEnd{.ticket = 2, .heldMs = 100});
+    // Both are ours, from before they ended.
+    bench.broker.noteLoad(ServerId{"s0"}, 2);
+    BOOST_TEST(bench.broker.freeSlots(service) == 2U);
+    bench.pass(900);
+    bench.broker.noteLoad(ServerId{"s0"}, 2);
+    BOOST_TEST(bench.broker.freeSlots(service) == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(AStoppedRunOfAnotherLeaderFreesItsSlotForOnlineRequestsFirst)
+{
+    Bench bench(2);
+    bench.broker.noteLoad(ServerId{"s0"}, 2);
+    // Others are still to be moved away, which needs the room that is left.
+    BOOST_TEST(!bench.broker.takeForBatch(service, 10, false).has_value());
+    bench.fillInTurn(2, 0);
+    bench.broker.request(entry, bench.ask(3, 3000));
+    BOOST_TEST(bench.broker.waiting(service) == 1U);
+    bench.broker.noteForeignEnd(ServerId{"s0"});
+    BOOST_REQUIRE_EQUAL(bench.grants.size(), 3U);
+    BOOST_TEST(bench.grants[2].server.value == "s0");
+    bench.broker.noteForeignEnd(ServerId{"s0"});
+    BOOST_TEST(bench.broker.takeForBatch(service, 10, true).has_value());
+}
+
 BOOST_AUTO_TEST_CASE(BatchIsOfferedSlotsWithoutAnyOnlineRequest)
 {
     // After a change of leader at the end of the day only bulk items are left.
--- a/persimmonlb/slots/slotchoice.cpp
+++ b/persimmonlb/slots/slotchoice.cpp
@@ -35,10 +35,14 @@
     return std::min(announced, configured);
 }
 
+std::uint32_t SlotBroker::foreignOf(const Server &server) const
+{
+    return clock_.monotonic() < server.foreignUntil ? server.foreign : 0;
+}
+
 std::uint32_t SlotBroker::takenOf(const Server &server) const
 {
-    const bool recent = clock_.monotonic() < server.foreignUntil;
-    return server.online + server.batch + (recent ? server.foreign : 0);
+    return server.online + server.batch + foreignOf(server);
 }
 
 bool SlotBroker::takes(const Server &server, std::uint64_t tokens) const
