Loopback tests: wait for the vote, not for the first entry; ports of their own; one host's parser throws

fleet_loopback_test failed in a whole test run (4 at once), twice in one go. Traced: - AWipedStoreJoinsAgain: 'joined' was true once the new store held entries, as a learner. The next host was killed before the swap of members had ended, and with two of three voters gone nothing was taken for 20 s. It now waits until the leader counts the store as a voter and changes no members. - AnExceptionInTheStoringPart: asked for another leader than the one that failed, which wins the next election in one of three (2 of 4 runs at once). It now waits for any leader, and still needs the failed store for the majority. Any host's parser could throw first, in a message handler that nothing guarded ('a parser that throws' left the test in 1 of 8 runs): messages are now guarded too, and only the leader's parser throws. - '127.0.0.4:36001 is in use': ports were taken from those for outgoing connections. They are now below them, and looked for from the process id on.

--- a/persimmonlb/fleetnode/fleetnode.cpp
+++ b/persimmonlb/fleetnode/fleetnode.cpp
@@ -183,7 +183,7 @@
 {
     if (to == settings.host) {
         boost::asio::post(context, [this, message = std::move(message)]() mutable {
-            receive(settings.host, std::move(message));
+            supervisor.guard(loopChild, [&] { receive(settings.host, std::move(message)); });
         });
         return true;
     }
@@ -347,7 +347,7 @@
                 .write();
             return;
         }
-        receive(from, std::move(message.value()));
+        supervisor.guard(loopChild, [&] { receive(from, std::move(message.value())); });
     };
     hooks.connected = [this](const HostId &peer) {
         LogLine(LogLevel::Info, "peer_connected").add("peer", peer.value).write();
--- a/persimmonlb/fleetnode/fleetnode_test.cpp
+++ b/persimmonlb/fleetnode/fleetnode_test.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <stdexcept>
 
 #include <boost/asio/post.hpp>
@@ -36,6 +37,21 @@
     return 0;
 }
 
+/// True once the leader counts on the host's present store, and changes no members any more.
+bool isVoter(LoopbackFleet &fleet, int number)
+{
+    if (fleet.leader() == 0) {
+        return false;
+    }
+    HostReport report;
+    fleet.node(number).storage()->fillReport(report);
+    const GroupStatus group = fleet.node(fleet.leader()).storage()->group();
+    return !group.changeInProgress
+        && std::ranges::any_of(group.members, [&report](const MemberStatus &member) {
+               return member.host == report.member && member.voter;
+           });
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(FleetNodeTest)
@@ -71,14 +87,7 @@
     fleet.wipe(lost);
     fleet.startStore(lost, false);
     // Whoever leads by then: removing the folder may hold up all hosts of this one thread.
-    const auto joined = [&] {
-        HostReport report;
-        fleet.node(lost).storage()->fillReport(report);
-        const int leader = fleet.leader();
-        return !report.unused && leader != 0
-            && fleet.node(lost).storage()->leader() == fleet.node(leader).settings().host;
-    };
-    BOOST_REQUIRE(fleet.runUntil(joined));
+    BOOST_REQUIRE(fleet.runUntil([&] { return isVoter(fleet, lost); }));
     BOOST_REQUIRE(fleet.propose(fleet.leader(), routes(8)));
     fleet.kill(follower(fleet, lost));
     BOOST_TEST(fleet.propose(lost, routes(9)));
@@ -120,9 +129,13 @@
     LoopbackFleet fleet;
     formGroup(fleet);
     const int failing = fleet.leader();
-    fleet.throwInParses(1);
+    // It parses routes twice: as the leader that pushes them, and as a host that they are pushed
+    // to.
+    fleet.throwInParses(failing, 2);
     BOOST_TEST(fleet.propose(failing, routes(7)));
-    BOOST_REQUIRE(fleet.runUntil([&] { return fleet.leader() != 0 && fleet.leader() != failing; }));
+    BOOST_REQUIRE(fleet.runUntil([&] { return fleet.parsesLeftToThrow(failing) == 0; }));
+    // It may lead again: its store is back long before the next election.
+    BOOST_REQUIRE(fleet.runUntil([&] { return fleet.leader() != 0; }));
     BOOST_TEST(fleet.propose(failing, routes(8)));
     // Its store was opened again: it is needed for the majority now.
     fleet.kill(follower(fleet, failing));
--- a/persimmonlb/fleetnode/storagerole.cpp
+++ b/persimmonlb/fleetnode/storagerole.cpp
@@ -216,6 +216,11 @@
     }
 }
 
+GroupStatus StorageRole::group() const
+{
+    return control_->status();
+}
+
 std::vector<HostId> StorageRole::members() const
 {
     std::vector<HostId> hosts;
--- a/persimmonlb/fleetnode/storagerole.h
+++ b/persimmonlb/fleetnode/storagerole.h
@@ -75,6 +75,8 @@
     /// True once the host is no member any more. Errors: NotFound, NotLeader.
     [[nodiscard]] Outcome<bool> isRetired(const std::string &name) const;
 
+    /// The replicated group as this member knows it.
+    [[nodiscard]] GroupStatus group() const;
     /// Hosts of the group that this one belongs to; they may be no seeds.
     [[nodiscard]] std::vector<HostId> members() const;
     [[nodiscard]] bool isLeader() const;
--- a/persimmonlb/fleetnode/testing/loopbackfleet.cpp
+++ b/persimmonlb/fleetnode/testing/loopbackfleet.cpp
@@ -4,6 +4,7 @@
 #include <cstdlib>
 #include <stdexcept>
 #include <thread>
+#include <unistd.h>
 #include <utility>
 
 #include <boost/asio/ip/tcp.hpp>
@@ -14,13 +15,46 @@
 namespace
 {
 
-/// A port that is free on 127.0.0.1 now, and so most likely on the other loopback addresses.
-std::uint16_t freePort()
+constexpr int lastHost = 9; ///< Hosts are 127.0.0.2 to this one.
+
+std::string hostName(int number)
+{
+    return "127.0.0." + std::to_string(number);
+}
+
+bool isFree(std::uint16_t port)
 {
     boost::asio::io_context context;
-    const boost::asio::ip::tcp::acceptor acceptor(context,
-                                                  {boost::asio::ip::make_address("127.0.0.1"), 0});
-    return acceptor.local_endpoint().port();
+    for (int number = 1; number <= lastHost; ++number) {
+        boost::asio::ip::tcp::acceptor acceptor(context);
+        const boost::asio::ip::tcp::endpoint endpoint(
+            boost::asio::ip::make_address(hostName(number)), port);
+        boost::system::error_code error;
+        acceptor.open(endpoint.protocol());
+        acceptor.set_option(boost::asio::socket_base::reuse_address(true));
+        acceptor.bind(endpoint, error);
+        if (error) {
+            return false;
+        }
+    }
+    return true;
+}
+
+/// A port that is free on every host's address now. Processes begin to look at different ports, all
+/// below those that the system gives to outgoing connections.
+std::uint16_t freePort()
+{
+    constexpr std::uint16_t lowest = 10000;
+    constexpr std::uint16_t count = 20000;
+    constexpr int stride = 7;
+    const auto first = static_cast<std::uint32_t>(::getpid()) * stride;
+    for (std::uint32_t tried = 0; tried < count; ++tried) {
+        const auto port = static_cast<std::uint16_t>(lowest + (first + tried) % count);
+        if (isFree(port)) {
+            return port;
+        }
+    }
+    throw std::runtime_error("no free port");
 }
 
 std::filesystem::path makeFolder()
@@ -32,11 +66,6 @@
     return pattern;
 }
 
-std::string hostName(int number)
-{
-    return "127.0.0." + std::to_string(number);
-}
-
 /// Routes written as "VERSION": one safe route to the service "plain".
 Outcome<RouteTable> parseRoutes(std::string_view text)
 {
@@ -149,11 +178,11 @@
     auto process = std::make_unique<Process>();
     process->stores = settings.stores;
     process->node = std::make_unique<FleetNode>(
-        process->context, std::move(settings), [this](FleetNode &node) {
+        process->context, std::move(settings), [this, number](FleetNode &node) {
             FleetFace face = makeFace(node);
-            face.parseRoutes = [this](std::string_view text) {
-                if (parsesThatThrow_ > 0) {
-                    --parsesThatThrow_;
+            face.parseRoutes = [this, number](std::string_view text) {
+                if (parsesLeftToThrow(number) > 0) {
+                    --parsesThatThrow_.at(number);
                     throw std::runtime_error("a parser that throws");
                 }
                 return parseRoutes(text);
@@ -184,9 +213,15 @@
     seeds_ = std::move(seeds);
 }
 
-void LoopbackFleet::throwInParses(int count)
+void LoopbackFleet::throwInParses(int number, int count)
+{
+    parsesThatThrow_[number] = count;
+}
+
+int LoopbackFleet::parsesLeftToThrow(int number) const
 {
-    parsesThatThrow_ = count;
+    const auto known = parsesThatThrow_.find(number);
+    return known == parsesThatThrow_.end() ? 0 : known->second;
 }
 
 boost::asio::io_context &LoopbackFleet::context(int number)
--- a/persimmonlb/fleetnode/testing/loopbackfleet.h
+++ b/persimmonlb/fleetnode/testing/loopbackfleet.h
@@ -38,8 +38,9 @@
     /// Hosts that nodes started from now on are told; 2, 3 and 4 at first.
     void setSeeds(std::vector<int> seeds);
 
-    /// The next parses of routes, on any host, throw.
-    void throwInParses(int count);
+    /// The next parses of routes on a host throw.
+    void throwInParses(int number, int count);
+    [[nodiscard]] int parsesLeftToThrow(int number) const;
 
     [[nodiscard]] FleetNode &node(int number);
     [[nodiscard]] boost::asio::io_context &context(int number);
@@ -63,7 +64,7 @@
     std::filesystem::path folder_;
     std::uint16_t meshPort_;
     std::vector<int> seeds_{2, 3, 4};
-    int parsesThatThrow_ = 0;
+    std::map<int, int> parsesThatThrow_; ///< By host.
     std::map<int, std::unique_ptr<Process>> processes_;
 };
 
