--- a/persimmonlb/ctl/commands.h
+++ b/persimmonlb/ctl/commands.h
@@ -38,6 +38,11 @@
 ExitCode groupStatus(const Session &session);
 ExitCode groupReplace(const Session &session);
 
+ExitCode fleetStatus(const Session &session);
+ExitCode fleetHosts(const Session &session);
+ExitCode fleetServers(const Session &session);
+ExitCode fleetJobs(const Session &session);
+
 ExitCode auditList(const Session &session);
 ExitCode ask(const Session &session);
 
--- a/persimmonlb/ctl/commands_test.cpp
+++ b/persimmonlb/ctl/commands_test.cpp
@@ -225,6 +225,39 @@
     BOOST_TEST(!fixture.requests[0].idempotent);
 }
 
+BOOST_AUTO_TEST_CASE(hostsWithOlderRoutesAreMarked)
+{
+    CommandFixture fixture;
+    fixture.answers = {ok(R"({"host":"10.0.0.2","routes_version":7,"hosts":[
+        {"host":"10.0.0.1","name":"entry-1","routes_version":6,"age_ms":120,"draining":false},
+        {"host":"10.0.0.2","name":"store-1","routes_version":7,"age_ms":8,"draining":true}]})")};
+    BOOST_TEST((fixture.run({"fleet", "hosts"}) == ExitCode::Ok));
+    BOOST_TEST(fixture.requests.at(0).target == "/v1/fleet");
+    BOOST_TEST(fixture.out.str().find("6 old") != std::string::npos);
+    BOOST_TEST(fixture.out.str().find("7 old") == std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(anEntryHostSaysThatItKnowsNoGroup)
+{
+    CommandFixture fixture;
+    fixture.answers = {ok(R"({"host":"10.0.0.1","name":"entry-1","leader":"10.0.0.2","term":3})")};
+    BOOST_TEST((fixture.run({"fleet", "status"}) == ExitCode::Ok));
+    BOOST_TEST(fixture.out.str().find("leader 10.0.0.2, term 3") != std::string::npos);
+    BOOST_TEST(fixture.out.str().find("ask a storage host") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(serversAndJobsOfAFleetAreListed)
+{
+    CommandFixture fixture;
+    fixture.answers
+        = {ok(R"({"servers":[{"server":"s1","service":"lm","slots":8,"draining":false}]})"),
+           ok(R"({"jobs":[{"job":"j1","route":"batch","items":10,"listed":4}]})")};
+    BOOST_TEST((fixture.run({"fleet", "servers"}) == ExitCode::Ok));
+    BOOST_TEST((fixture.run({"fleet", "jobs"}) == ExitCode::Ok));
+    BOOST_TEST(fixture.out.str().find("s1") != std::string::npos);
+    BOOST_TEST(fixture.out.str().find("j1") != std::string::npos);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace persimmonlb
--- a/persimmonlb/fleetnode/fleetnode.cpp
+++ b/persimmonlb/fleetnode/fleetnode.cpp
@@ -39,6 +39,8 @@
 constexpr Milliseconds commandAttempt{300};
 constexpr Milliseconds commandDeadline{2500};
 
+constexpr const char *statusTarget = "/v1/fleet"; ///< At the metrics address.
+
 // Names of the supervisor's children.
 constexpr const char *gatewayChild = "gateway";
 constexpr const char *storageChild = "storage";
@@ -95,6 +97,8 @@
     void takeRoutes(const RoutesPush &push);
     void connectTo(const std::vector<HostId> &hosts);
     void report();
+    [[nodiscard]] FleetStatus status() const;
+    void answerOperators(const HttpRequest &request, HttpResponder &responder) const;
     void tick();
 
     boost::asio::io_context &context;
@@ -393,12 +397,34 @@
         BOOST_LEAF_CHECK(add(settings.controlListen, face.control));
     }
     return add(settings.metricsListen,
-               [this](const HttpRequest &, const std::shared_ptr<HttpResponder> &responder) {
-                   responder->respond(
-                       HttpResponse{200, {{{"Content-Type", "text/plain"}}}, metrics.text()});
+               [this](const HttpRequest &request, const std::shared_ptr<HttpResponder> &responder) {
+                   answerOperators(request, *responder);
                });
 }
 
+FleetStatus FleetNode::Parts::status() const
+{
+    FleetStatus status;
+    status.host = settings.host;
+    status.name = settings.name;
+    status.routesVersion = routesVersion;
+    status.view = view;
+    if (storage) {
+        storage->fillStatus(status);
+    }
+    return status;
+}
+
+void FleetNode::Parts::answerOperators(const HttpRequest &request, HttpResponder &responder) const
+{
+    if (request.target == statusTarget) {
+        responder.respond(HttpResponse{
+            200, {{{"Content-Type", "application/json"}}}, formatFleetStatus(status())});
+        return;
+    }
+    responder.respond(HttpResponse{200, {{{"Content-Type", "text/plain"}}}, metrics.text()});
+}
+
 void FleetNode::Parts::tick()
 {
     control.tick();
@@ -504,6 +530,11 @@
     startLogging(settings.logLevel);
 }
 
+FleetStatus FleetNode::status() const
+{
+    return parts_->status();
+}
+
 const FleetSettings &FleetNode::settings() const
 {
     return parts_->settings;
--- a/persimmonlb/fleetnode/fleetnode.h
+++ b/persimmonlb/fleetnode/fleetnode.h
@@ -11,6 +11,7 @@
 #include "persimmonlb/control/controlclient.h"
 #include "persimmonlb/fleetnode/fleetface.h"
 #include "persimmonlb/fleetnode/fleetsettings.h"
+#include "persimmonlb/fleetnode/fleetstatus.h"
 #include "persimmonlb/fleetnode/gatewayrole.h"
 #include "persimmonlb/fleetnode/storagerole.h"
 
@@ -46,6 +47,8 @@
     /// Takes settings that were read again; only the log level may change in a life.
     void settingsChanged(const FleetSettings &settings);
 
+    /// What this host knows of the fleet, for operators.
+    [[nodiscard]] FleetStatus status() const;
     [[nodiscard]] const FleetSettings &settings() const;
     /// Null on hosts that take no callers.
     [[nodiscard]] GatewayRole *gateway() const;
--- a/persimmonlb/fleetnode/fleetnode_test.cpp
+++ b/persimmonlb/fleetnode/fleetnode_test.cpp
@@ -165,4 +165,30 @@
     BOOST_TEST(fleet.node(9).run() == exitFailure);
 }
 
+BOOST_AUTO_TEST_CASE(AnyStorageHostTellsOperatorsOfTheWholeFleet)
+{
+    LoopbackFleet fleet;
+    fleet.startEntry(9);
+    formGroup(fleet);
+    BOOST_REQUIRE(fleet.propose(fleet.leader(), routes(7)));
+    FleetNode &asked = fleet.node(follower(fleet));
+    const auto allHaveRoutes = [&asked] {
+        const FleetStatus status = asked.status();
+        return status.hosts.size() == 4U
+            && std::ranges::all_of(status.hosts, [](const ReportedHost &known) {
+                   return known.report.routesVersion == 7U;
+               });
+    };
+    BOOST_REQUIRE(fleet.runUntil(allHaveRoutes));
+    const FleetStatus status = asked.status();
+    BOOST_TEST(status.view.leader.value == fleet.node(fleet.leader()).settings().host.value);
+    BOOST_REQUIRE(status.group.has_value());
+    BOOST_TEST(status.group->members.size() == 3U);
+    const std::string text = formatFleetStatus(status);
+    BOOST_TEST(text.find(R"("routes_version":7)") != std::string::npos);
+    BOOST_TEST(text.find(R"("name":"host-9")") != std::string::npos);
+    // An entry host knows no group.
+    BOOST_TEST(!fleet.node(9).status().group.has_value());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/persimmonlb/fleetnode/fleetstatus.cpp
@@ -0,0 +1,108 @@
+#include "persimmonlb/fleetnode/fleetstatus.h"
+
+#include <nlohmann/json.hpp>
+
+namespace persimmonlb
+{
+
+namespace
+{
+
+using Json = nlohmann::json;
+
+std::string_view roleName(Role role)
+{
+    switch (role) {
+    case Role::Leader:
+        return "leader";
+    case Role::Candidate:
+    case Role::PreCandidate:
+        return "candidate";
+    case Role::Follower:
+        return "follower";
+    case Role::Learner:
+        break;
+    }
+    return "learner";
+}
+
+Json groupJson(const GroupStatus &group)
+{
+    Json members = Json::array();
+    for (const MemberStatus &member : group.members) {
+        members.push_back(
+            {{"member", member.host.value}, {"voter", member.voter}, {"match", member.matchIndex}});
+    }
+    return {{"role", roleName(group.role)},
+            {"term", group.term},
+            {"commit", group.commitIndex},
+            {"applied", group.appliedIndex},
+            {"change_in_progress", group.changeInProgress},
+            {"members", std::move(members)}};
+}
+
+Json hostsJson(const std::vector<ReportedHost> &hosts)
+{
+    Json list = Json::array();
+    for (const ReportedHost &known : hosts) {
+        list.push_back({{"host", known.host.value},
+                        {"name", known.report.name},
+                        {"availability_zone", known.report.availabilityZone.value},
+                        {"callers", known.report.address},
+                        {"member", known.report.member.value},
+                        {"draining", known.report.draining},
+                        {"routes_version", known.report.routesVersion},
+                        {"view_term", known.report.viewTerm},
+                        {"age_ms", known.age.count()}});
+    }
+    return list;
+}
+
+Json serversJson(const std::vector<FleetServer> &servers)
+{
+    Json list = Json::array();
+    for (const FleetServer &server : servers) {
+        list.push_back({{"server", server.id.value},
+                        {"service", server.service.value},
+                        {"address", server.address},
+                        {"availability_zone", server.availabilityZone.value},
+                        {"slots", server.slots},
+                        {"draining", server.draining},
+                        {"born_ms", server.bornMs}});
+    }
+    return list;
+}
+
+Json jobsJson(const std::vector<std::pair<JobId, BulkJob>> &jobs)
+{
+    Json list = Json::array();
+    for (const auto &[id, job] : jobs) {
+        list.push_back({{"job", id.value},
+                        {"route", job.route},
+                        {"items", job.items.size()},
+                        {"listed", job.listed},
+                        {"ended_by_caller", job.ended},
+                        {"due_ms", job.dueAt.time_since_epoch().count()}});
+    }
+    return list;
+}
+
+} // namespace
+
+std::string formatFleetStatus(const FleetStatus &status)
+{
+    Json json{{"host", status.host.value},
+              {"name", status.name},
+              {"leader", status.view.leader.value},
+              {"term", status.view.term},
+              {"routes_version", status.routesVersion},
+              {"servers", serversJson(status.view.servers)},
+              {"hosts", hostsJson(status.hosts)},
+              {"jobs", jobsJson(status.jobs)}};
+    if (status.group) {
+        json["group"] = groupJson(*status.group);
+    }
+    return json.dump() + "\n";
+}
+
+} // namespace persimmonlb
--- a/persimmonlb/fleetnode/storagerole.cpp
+++ b/persimmonlb/fleetnode/storagerole.cpp
@@ -13,6 +13,7 @@
 
 constexpr Milliseconds restartDelay{500};
 constexpr std::uint64_t snapshotEntries = 20000; ///< Some minutes of a busy group.
+constexpr std::size_t mostJobsShown = 200; ///< To operators.
 constexpr Milliseconds entryLease{5000}; ///< Of hosts that use sheets; unused with routes.
 
 /// One zone apart, hosts hear each other within some milliseconds; a host whose processor is
@@ -221,6 +222,25 @@
     return control_->status();
 }
 
+void StorageRole::fillStatus(FleetStatus &status) const
+{
+    status.group = group();
+    for (const auto &[host, heard] : reports_) {
+        const auto age = deps_.clock.monotonic() - heard.at;
+        status.hosts.push_back({host, heard.report, std::chrono::duration_cast<Milliseconds>(age)});
+    }
+    const ReplicatedState *state = control_->state();
+    if (state == nullptr) {
+        return;
+    }
+    for (const auto &[id, job] : state->bulk().jobs()) {
+        if (status.jobs.size() == mostJobsShown) {
+            break;
+        }
+        status.jobs.emplace_back(id, job);
+    }
+}
+
 std::vector<HostId> StorageRole::members() const
 {
     std::vector<HostId> hosts;
@@ -311,6 +331,7 @@
 void StorageRole::takeReport(const HostId &from, const HostReport &report)
 {
     registry_.report(from, report);
+    reports_[from] = HeardReport{report, deps_.clock.monotonic()};
     const auto reported = std::pair(report.viewTerm, report.viewVersion);
     if (!leads_) {
         // A host that knows the seeds alone learns from any of them who leads, and where.
@@ -334,6 +355,7 @@
 void StorageRole::hostLost(const HostId &host)
 {
     registry_.hostLost(host);
+    reports_.erase(host);
     broker_.hostLost(host);
 }
 
--- a/persimmonlb/fleetnode/storagerole.h
+++ b/persimmonlb/fleetnode/storagerole.h
@@ -20,6 +20,7 @@
 #include "persimmonlb/fleetnode/engineinspector.h"
 #include "persimmonlb/fleetnode/fleetface.h"
 #include "persimmonlb/fleetnode/fleetsettings.h"
+#include "persimmonlb/fleetnode/fleetstatus.h"
 #include "persimmonlb/fleetnode/groupcare.h"
 #include "persimmonlb/fleetnode/memberidentity.h"
 #include "persimmonlb/http/client.h"
@@ -82,10 +83,16 @@
     [[nodiscard]] bool isLeader() const;
     /// Host that leads, as known here, or empty.
     [[nodiscard]] HostId leader() const;
+    /// Adds what a storage host knows.
+    void fillStatus(FleetStatus &status) const;
     /// What this host reports of itself as a store.
     void fillReport(HostReport &report) const;
 
 private:
+    struct HeardReport {
+        HostReport report;
+        MonotonicTime at;
+    };
     struct PendingNotice {
         std::function<void(bool)> done;
         MonotonicTime deadline;
@@ -121,6 +128,7 @@
     bool running_ = false;
     bool formationTried_ = false;
     FleetRegistry registry_;
+    std::map<HostId, HeardReport> reports_; ///< For operators; of hosts that are connected.
     GroupCare care_;
     SlotBroker broker_;
     CrashLedger crashes_;
--- a/persimmonlb/fleetnode/testing/loopbackfleet.cpp
+++ b/persimmonlb/fleetnode/testing/loopbackfleet.cpp
@@ -15,6 +15,8 @@
 namespace
 {
 
+constexpr std::chrono::seconds longestWait{20};
+constexpr std::chrono::microseconds idlePause{100};
 constexpr int lastHost = 9; ///< Hosts are 127.0.0.2 to this one.
 
 std::string hostName(int number)
@@ -244,23 +246,50 @@
     return 0;
 }
 
+void LoopbackFleet::turn()
+{
+    std::size_t handled = 0;
+    for (const auto &[number, process] : processes_) {
+        handled += process->context.poll();
+    }
+    if (handled == 0) {
+        std::this_thread::sleep_for(idlePause);
+    }
+}
+
 bool LoopbackFleet::runUntil(const std::function<bool()> &done)
 {
-    constexpr std::chrono::seconds limit{20};
-    constexpr std::chrono::milliseconds pause{1};
-    const auto end = std::chrono::steady_clock::now() + limit;
+    const auto end = std::chrono::steady_clock::now() + longestWait;
     while (std::chrono::steady_clock::now() < end) {
-        for (const auto &[number, process] : processes_) {
-            process->context.poll();
-        }
+        turn();
         if (done()) {
             return true;
         }
-        std::this_thread::sleep_for(pause);
     }
     return false;
 }
 
+void LoopbackFleet::runFor(Milliseconds time, const std::function<void()> &step)
+{
+    const auto end = std::chrono::steady_clock::now() + time;
+    while (std::chrono::steady_clock::now() < end) {
+        turn();
+        step();
+    }
+}
+
+std::uint64_t LoopbackFleet::diskKilobytes() const
+{
+    constexpr std::uint64_t bytesPerKilobyte = 1024;
+    std::uint64_t bytes = 0;
+    for (const auto &entry : std::filesystem::recursive_directory_iterator(folder_)) {
+        std::error_code gone;
+        const std::uint64_t size = entry.is_regular_file(gone) ? entry.file_size(gone) : 0;
+        bytes += gone ? 0 : size;
+    }
+    return bytes / bytesPerKilobyte;
+}
+
 bool LoopbackFleet::propose(int through, const Command &command)
 {
     const auto taken = std::make_shared<bool>(false);
--- a/persimmonlb/fleetnode/testing/loopbackfleet.h
+++ b/persimmonlb/fleetnode/testing/loopbackfleet.h
@@ -48,6 +48,10 @@
     [[nodiscard]] int leader() const;
     /// Lets every node work until `done` or some twenty seconds have passed.
     bool runUntil(const std::function<bool()> &done);
+    /// Lets every node work for so long, and calls `step` between their turns.
+    void runFor(Milliseconds time, const std::function<void()> &step);
+    /// Size of all data folders.
+    [[nodiscard]] std::uint64_t diskKilobytes() const;
     /// Proposes through a node, again while it is not taken; false when that took too long.
     bool propose(int through, const Command &command);
 
@@ -59,6 +63,8 @@
     };
 
     void start(int number, FleetSettings settings);
+    /// Lets every node do what is due.
+    void turn();
     [[nodiscard]] FleetSettings settingsFor(int number) const;
 
     std::filesystem::path folder_;
