--- a/persimmonlb/fleetnode/engineinspector_test.cpp
+++ b/persimmonlb/fleetnode/engineinspector_test.cpp
@@ -162,11 +162,8 @@
 BOOST_AUTO_TEST_CASE(AnEngineThatTookOneRunTakesTheNextOneAtOnce)
 {
     Bench bench;
-    std::vector<std::string> orphans;
-    for (int i = 0; i < 6; ++i) {
-        orphans.push_back("orphan-" + std::to_string(i));
-    }
-    bench.tellRuns("e1:80", orphans);
+    bench.tellRuns("e1:80",
+                   {"orphan-1", "orphan-2", "orphan-3", "orphan-4", "orphan-5", "orphan-6"});
     bench.pass(20);
     BOOST_TEST(bench.sent("stop").size() == EngineInspectorOptions{}.stopsAtOnce);
     Bench::answer(*bench.sent("stop")[0], 200, "h1");
