Fleet node in three files; batch waits for stops only where engines can stop runs

Found by reading: with engines that cannot stop runs, bulk items would have waited up to 7 s after each change of leader for stops that never come. Test: WhereRunsCannotBeStoppedBatchTakesTheRoomBesideThem (fails before).

--- /dev/null
+++ b/persimmonlb/fleetnode/fleetparts.cpp
@@ -0,0 +1,185 @@
+// The parts of a fleet node and what they serve.
+#include "persimmonlb/fleetnode/internal/fleetparts.h"
+
+#include <utility>
+
+#include <boost/asio/post.hpp>
+
+#include "persimmonlb/base/logline.h"
+#include "persimmonlb/daemon/programarguments.h"
+
+namespace persimmonlb
+{
+
+namespace
+{
+
+/// Ten round trips between zones; a server that does not answer a connection is dark.
+constexpr Milliseconds serverConnectTimeout{250};
+/// Servers that say nothing of it close idle connections after some ten seconds.
+constexpr Milliseconds serverIdleTimeout{4000};
+/// Operators and callers of bulk jobs go on to another host after a second.
+constexpr Milliseconds commandAttempt{300};
+constexpr Milliseconds commandDeadline{2500};
+constexpr const char *statusTarget = "/v1/fleet"; ///< At the metrics address.
+
+HttpClientOptions clientOptions()
+{
+    HttpClientOptions options;
+    options.connectTimeout = serverConnectTimeout;
+    options.idleConnectionTimeout = serverIdleTimeout;
+    return options;
+}
+
+ControlClientOptions controlOptions(const FleetSettings &settings)
+{
+    ControlClientOptions options;
+    options.controlHosts = seedHosts(settings);
+    options.attemptTimeout = commandAttempt;
+    options.deadline = commandDeadline;
+    return options;
+}
+
+} // namespace
+
+FleetNode::Parts::Parts(boost::asio::io_context &usedContext, FleetSettings usedSettings)
+    : context(usedContext)
+    , settings(std::move(usedSettings))
+    , timers(context)
+    , supervisor("node", RestartLimit{}, clock, [this](const std::string &why) { fail(why); })
+    , client(HttpClient::create(context, clientOptions()))
+    , control(controlOptions(settings), clock, random,
+              [this](const HostId &to, PeerBody body) { return send(to, std::move(body)); })
+{
+}
+
+void FleetNode::Parts::fail(const std::string &why)
+{
+    LogLine(LogLevel::Error, "node_failed").add("why", why).write();
+    exitCode = exitFailure;
+    context.stop();
+}
+
+void FleetNode::Parts::makeRoles()
+{
+    if (settings.takesCallers) {
+        gateway = std::make_unique<GatewayRole>(GatewayRoleDeps{
+            .settings = settings,
+            .face = face,
+            .clock = clock,
+            .random = random,
+            .metrics = metrics,
+            .client = *client,
+            .crashes = crashes,
+            .send = [this](const HostId &to, PeerBody body) { return send(to, std::move(body)); },
+            .later
+            = [this](std::function<void()> fn) { boost::asio::post(context, std::move(fn)); },
+            .closeListener =
+                [this] {
+                    callers->stopListening();
+                    callers->closeIdleConnections();
+                },
+            .listenerIdle
+            = [this] { return callers->openRequests() == 0 && callers->openConnections() == 0; },
+            .stopped =
+                [this] {
+                    LogLine(LogLevel::Info, "stopped").write();
+                    context.stop();
+                }});
+    }
+    if (settings.stores) {
+        storage = std::make_unique<StorageRole>(StorageRoleDeps{
+            .settings = settings,
+            .face = face,
+            .clock = clock,
+            .random = random,
+            .metrics = metrics,
+            .client = *client,
+            .crashes = crashes,
+            .sendToMember =
+                [this](const HostId &from, const HostId &to, PeerBody body) {
+                    return sendMessage(PeerMessage{defaultGroup, std::move(body), from, to},
+                                       hostOfMember(to));
+                },
+            .send = [this](const HostId &to, PeerBody body) { return send(to, std::move(body)); },
+            .sendToAll = [this](const PeerBody &body) { sendToAll(body); },
+            .post = [this](std::function<void()> fn) { boost::asio::post(context, std::move(fn)); },
+            .after = [this](Milliseconds delay,
+                            std::function<void()> fn) { timers.after(delay, std::move(fn)); },
+            .lastView = [this]() -> const FleetView & {
+                return view;
+            }});
+    }
+}
+
+Result<std::unique_ptr<HttpServer>> FleetNode::Parts::listen(const std::string &address,
+                                                             HttpHandler handler)
+{
+    HttpServerOptions options;
+    options.farewell = face.farewell;
+    return HttpServer::listen(context, address, std::move(options), std::move(handler));
+}
+
+Result<void> FleetNode::Parts::startListeners()
+{
+    const auto add
+        = [this](const std::string &address, const HttpHandler &handler) -> Result<void> {
+        if (address.empty()) {
+            return {};
+        }
+        BOOST_LEAF_AUTO(server, listen(address, handler));
+        listeners.push_back(std::move(server));
+        return {};
+    };
+    if (gateway) {
+        BOOST_LEAF_ASSIGN(callers, listen(settings.callerListen, face.callers));
+        BOOST_LEAF_CHECK(add(settings.directoryListen, face.directory));
+        BOOST_LEAF_CHECK(add(settings.readinessListen, face.readiness));
+    }
+    if (storage) {
+        BOOST_LEAF_CHECK(add(settings.controlListen, face.control));
+    }
+    return add(settings.metricsListen,
+               [this](const HttpRequest &request, const std::shared_ptr<HttpResponder> &responder) {
+                   answerOperators(request, *responder);
+               });
+}
+
+FleetStatus FleetNode::Parts::status() const
+{
+    FleetStatus status;
+    status.host = settings.host;
+    status.name = settings.name;
+    status.routesVersion = routesVersion;
+    status.view = view;
+    if (storage) {
+        storage->fillStatus(status);
+    }
+    return status;
+}
+
+void FleetNode::Parts::answerOperators(const HttpRequest &request, HttpResponder &responder) const
+{
+    if (request.target == statusTarget) {
+        responder.respond(HttpResponse{
+            200, {{{"Content-Type", "application/json"}}}, formatFleetStatus(status())});
+        return;
+    }
+    responder.respond(HttpResponse{200, {{{"Content-Type", "text/plain"}}}, metrics.text()});
+}
+
+void FleetNode::Parts::tick()
+{
+    control.tick();
+    supervisor.guard(gatewayChild, [this] { gateway->tick(); });
+    supervisor.guard(storageChild, [this] { storage->tick(); });
+}
+
+Result<void> FleetNode::Parts::startStorage()
+{
+    BOOST_LEAF_CHECK(storage->start());
+    connectTo(storage->members());
+    return {};
+}
+
+} // namespace persimmonlb
--- a/persimmonlb/fleetnode/slotcapacity.h
+++ b/persimmonlb/fleetnode/slotcapacity.h
@@ -11,7 +11,11 @@
 inline SlotCapacity slotCapacity(const RouteTable *routes, const ServiceName &service)
 {
     const RoutedService *known = routes == nullptr ? nullptr : routes->findService(service);
-    return known == nullptr ? SlotCapacity{} : SlotCapacity{known->slots, known->cacheTokens};
+    if (known == nullptr) {
+        return {};
+    }
+    return {
+        .slots = known->slots, .cacheTokens = known->cacheTokens, .stopsRuns = known->stopsRuns};
 }
 
 } // namespace persimmonlb
--- a/persimmonlb/slots/slotbroker.cpp
+++ b/persimmonlb/slots/slotbroker.cpp
@@ -405,7 +405,7 @@
     for (const auto &[id, server] : servers_) {
         if (server.info.service == service) {
             slots += slotsOf(server);
-            foreign += foreignOf(server);
+            foreign += server.capacity.stopsRuns ? foreignOf(server) : 0;
         }
     }
     // What the leader before left running is stopped by moving it, and a move needs room.
--- a/persimmonlb/slots/slotbroker.h
+++ b/persimmonlb/slots/slotbroker.h
@@ -61,6 +61,7 @@
 struct SlotCapacity {
     std::uint32_t slots = 0; ///< Of one server; 0: as it announces.
     std::uint64_t cacheTokens = 0; ///< Of one server; 0: not bounded.
+    bool stopsRuns = false; ///< Runs that nobody waits for can be ended by their ids.
 
     bool operator==(const SlotCapacity &) const = default;
 };
--- a/persimmonlb/slots/slotbroker_test.cpp
+++ b/persimmonlb/slots/slotbroker_test.cpp
@@ -12,7 +12,8 @@
 
 /// A broker over servers of two slots each, with batch runs that it may end.
 struct Bench {
-    explicit Bench(int servers)
+    explicit Bench(int servers, bool engineStopsRuns = false)
+        : stopsRuns(engineStopsRuns)
     {
         std::vector<FleetServer> list;
         for (int i = 0; i < servers; ++i) {
@@ -25,7 +26,9 @@
             server.slots = 2;
             list.push_back(server);
         }
-        broker.setServers(list, [](const ServiceName &) { return SlotCapacity{2, 10000}; });
+        broker.setServers(list, [this](const ServiceName &) {
+            return SlotCapacity{.slots = 2, .cacheTokens = 10000, .stopsRuns = stopsRuns};
+        });
     }
 
     SlotRequest ask(std::uint64_t ticket, std::uint64_t startWithin = 300)
@@ -52,6 +55,7 @@
         }
     }
 
+    bool stopsRuns;
     MonotonicTime now;
     std::vector<SlotGrant> grants;
     std::vector<SlotRefusal> refusals;
@@ -299,7 +303,7 @@
 
 BOOST_AUTO_TEST_CASE(AStoppedRunOfAnotherLeaderFreesItsSlotForOnlineRequestsFirst)
 {
-    Bench bench(2);
+    Bench bench(2, true);
     bench.broker.noteLoad(ServerId{"s0"}, 2);
     // Others are still to be moved away, which needs the room that is left.
     BOOST_TEST(!bench.broker.takeForBatch(service, 10, false).has_value());
@@ -313,6 +317,13 @@
     BOOST_TEST(bench.broker.takeForBatch(service, 10, true).has_value());
 }
 
+BOOST_AUTO_TEST_CASE(WhereRunsCannotBeStoppedBatchTakesTheRoomBesideThem)
+{
+    Bench bench(2);
+    bench.broker.noteLoad(ServerId{"s0"}, 2);
+    BOOST_TEST(bench.broker.takeForBatch(service, 10, false).has_value());
+}
+
 BOOST_AUTO_TEST_CASE(BatchIsOfferedSlotsWithoutAnyOnlineRequest)
 {
     // After a change of leader at the end of the day only bulk items are left.
--- a/persimmonlb/testing/trial/viewscheduler.cpp
+++ b/persimmonlb/testing/trial/viewscheduler.cpp
@@ -42,7 +42,8 @@
     }
     void arrive(const Attempt &attempt);
     void ended(std::uint64_t attempt, std::size_t server);
-    void acceptJob(std::vector<std::pair<std::uint64_t, BatchItem>> items, Milliseconds dueIn);
+    void acceptJob(const std::vector<std::pair<std::uint64_t, BatchItem>> &items,
+                   Milliseconds dueIn);
     void serverChanged(std::size_t server, bool up);
 
     [[nodiscard]] std::uint32_t batchRunning() const
@@ -196,17 +197,14 @@
     world_.time.after(ownerInterval, [self = shared_from_this()] { self->own(); });
 }
 
-void ViewScheduler::acceptJob(std::vector<std::pair<std::uint64_t, BatchItem>> items,
+void ViewScheduler::acceptJob(const std::vector<std::pair<std::uint64_t, BatchItem>> &items,
                               Milliseconds dueIn)
 {
     const MonotonicTime dueAt = world_.time.clock().monotonic() + dueIn;
-    for (auto &[number, spec] : items) {
-        items_.emplace(number,
-                       Item{.spec = std::move(spec),
-                            .dueAt = dueAt,
-                            .next = 0,
-                            .run = std::nullopt,
-                            .server = 0});
+    for (const auto &[number, spec] : items) {
+        items_.emplace(
+            number,
+            Item{.spec = spec, .dueAt = dueAt, .next = 0, .run = std::nullopt, .server = 0});
     }
 }
 
@@ -291,10 +289,10 @@
     scheduler.ended = [made](std::uint64_t attempt, std::size_t server, bool) {
         made->ended(attempt, server);
     };
-    scheduler.acceptJob
-        = [made](std::vector<std::pair<std::uint64_t, BatchItem>> items, Milliseconds dueIn) {
-              made->acceptJob(std::move(items), dueIn);
-          };
+    scheduler.acceptJob = [made](const std::vector<std::pair<std::uint64_t, BatchItem>> &items,
+                                 Milliseconds dueIn) {
+        made->acceptJob(items, dueIn);
+    };
     scheduler.serverChanged = [made](std::size_t server, bool up) {
         made->serverChanged(server, up);
     };
--- a/persimmonlb/wire/message_fuzz.cpp
+++ b/persimmonlb/wire/message_fuzz.cpp
@@ -40,6 +40,7 @@
 
 } // namespace
 
+// NOLINTNEXTLINE(readability-identifier-naming): libFuzzer's name
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t *data, std::size_t size)
 {
     static const auto samples
