Slot broker: requests that are late for over 0.9 s count for those that ask

Change: one that is late for as long as an answer holds a slot counts again as ahead of new ones, which are refused at once instead. Test: InLongOverloadNewRequestsAreRefusedBeforeALateOneWaitsForEver, fails without the bound.

--- a/persimmonlb/slots/slotbroker.cpp
+++ b/persimmonlb/slots/slotbroker.cpp
@@ -141,10 +141,13 @@
     const MonotonicTime startBy
         = now + Milliseconds(static_cast<std::int64_t>(request.startWithinMs));
     std::size_t ahead = 0;
+    // A late one lets this one go ahead. Those that are late for long count all the same: let in
+    // without them, new requests would keep them waiting until their callers leave.
     for (const Waiting &waiting : service.queue) {
+        const bool letsAhead = waiting.startBy < now && now - waiting.startBy < options_.lateGrace;
         const bool before = waiting.request.priority < request.priority
-            || (waiting.request.priority == request.priority && waiting.startBy >= now
-                && waiting.startBy <= startBy);
+            || (waiting.request.priority == request.priority && waiting.startBy <= startBy
+                && !letsAhead);
         ahead += before ? 1 : 0;
     }
     return ahead;
--- a/persimmonlb/slots/slotbroker.h
+++ b/persimmonlb/slots/slotbroker.h
@@ -26,6 +26,9 @@
     /// How much longer a request that came back may wait than its objective allows: refusing it
     /// again serves its caller worse than a late answer.
     Milliseconds returnedGrace{600};
+    /// A request that is late for longer holds up new ones: they are refused instead of kept before
+    /// it. As long as an online answer holds a slot.
+    Milliseconds lateGrace{900};
     /// A server that cannot be reached rests for so long, twice as long each time in a row.
     Milliseconds firstRest{400};
     Milliseconds longestRest{4000};
--- a/persimmonlb/slots/slotbroker_test.cpp
+++ b/persimmonlb/slots/slotbroker_test.cpp
@@ -168,6 +168,31 @@
     BOOST_TEST(bench.grants[3].ticket == 3U);
 }
 
+BOOST_AUTO_TEST_CASE(InLongOverloadNewRequestsAreRefusedBeforeALateOneWaitsForEver)
+{
+    Bench bench(1);
+    bench.fillInTurn(2, 0);
+    bench.pass(500);
+    bench.broker.request(entry, bench.ask(3, 450));
+    // Tickets 4 and 5 overtake ticket 3, which is late from 950 ms on.
+    bench.pass(460);
+    bench.broker.request(entry, bench.ask(4));
+    bench.pass(40);
+    bench.broker.end(entry, SlotEnd{.ticket = 2, .heldMs = 900});
+    bench.pass(690);
+    bench.broker.request(entry, bench.ask(5));
+    bench.pass(10);
+    bench.broker.end(entry, SlotEnd{.ticket = 4, .heldMs = 900});
+    BOOST_REQUIRE(bench.refusals.empty());
+    BOOST_REQUIRE_EQUAL(bench.grants.size(), 4U);
+    // By now it is late for so long that the next slot is its own.
+    bench.pass(160);
+    bench.broker.request(entry, bench.ask(6));
+    BOOST_TEST(bench.refusals.size() == 1U);
+    bench.broker.end(entry, SlotEnd{.ticket = 1, .heldMs = 900});
+    BOOST_TEST(bench.grants.back().ticket == 3U);
+}
+
 BOOST_AUTO_TEST_CASE(ALateRequestOfAHigherPriorityStillGoesFirst)
 {
     Bench bench(1);
