One type for 'send to a server', one way through a client, one fake of an exchange

Found by reading the change: the hook's type stood five times (three of them new), the call of HttpClient::start behind it three times, and a fake exchange in each of four tests. No behaviour changes; the tests keep their assertions.

--- a/persimmonlb/bulk/bulkrunner.h
+++ b/persimmonlb/bulk/bulkrunner.h
@@ -59,9 +59,7 @@
     std::function<void(const Command &command, std::function<void(Outcome<Reply>)> done)> propose;
     std::function<HttpRequest(const std::string &host, const BulkItemSpec &item)> itemRequest;
     RelayCodec codec;
-    std::function<std::unique_ptr<HttpExchange>(const std::string &address, HttpRequest request,
-                                                Milliseconds deadline, HttpExchangeHooks hooks)>
-        send;
+    HttpSend send;
 };
 
 /// Runs the items of bulk jobs on slots that online requests leave.
--- a/persimmonlb/bulk/bulkrunner_test.cpp
+++ b/persimmonlb/bulk/bulkrunner_test.cpp
@@ -180,7 +180,7 @@
                 made->behind = behind;
                 made->hooks = std::move(hooks);
                 sendings.push_back(made);
-                return std::make_unique<FakeExchange>(made);
+                return std::make_unique<FakeExchange>([made] { made->closed = true; });
             }}};
     std::optional<std::uint64_t> behind;
 };
--- a/persimmonlb/dispatch/dispatcher.h
+++ b/persimmonlb/dispatch/dispatcher.h
@@ -61,9 +61,7 @@
     std::function<void(const LeaseItems &, std::function<void(Outcome<LeaseReply>)>)> lease;
     std::function<void(const CompleteItems &, std::function<void(Outcome<CompleteReply>)>)>
         complete;
-    std::function<std::unique_ptr<HttpExchange>(const std::string &address, HttpRequest,
-                                                Milliseconds deadline, HttpExchangeHooks)>
-        send;
+    HttpSend send;
     /// The number of batch items in flight on a server changed by `change`.
     std::function<void(const ServerId &, int change)> inFlightChanged;
     /// A server broke connections with these bodies in flight.
--- a/persimmonlb/dispatch/dispatcher_test.cpp
+++ b/persimmonlb/dispatch/dispatcher_test.cpp
@@ -5,6 +5,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include "persimmonlb/dispatch/dispatcher.h"
+#include "persimmonlb/http/testing/fakesending.h"
 
 namespace persimmonlb
 {
@@ -15,31 +16,6 @@
 const ServiceName service{"lettering-lm"};
 const Owner self{HostId{"entry-1"}, 7};
 
-/// An exchange that tells its test when it was cancelled.
-class FakeExchange : public HttpExchange
-{
-public:
-    explicit FakeExchange(std::shared_ptr<bool> alive)
-        : alive_(std::move(alive))
-    {
-    }
-    FakeExchange(const FakeExchange &) = delete;
-    FakeExchange &operator=(const FakeExchange &) = delete;
-    ~FakeExchange() override
-    {
-        *alive_ = false;
-    }
-    void pause() override
-    {
-    }
-    void resume() override
-    {
-    }
-
-private:
-    std::shared_ptr<bool> alive_;
-};
-
 struct SentItem {
     std::string address;
     HttpRequest request;
@@ -146,7 +122,8 @@
         result.send = [this](const std::string &address, HttpRequest request, Milliseconds,
                              HttpExchangeHooks exchange) -> std::unique_ptr<HttpExchange> {
             sent.push_back(SentItem{address, std::move(request), std::move(exchange)});
-            return std::make_unique<FakeExchange>(sent.back().alive);
+            return std::make_unique<testing::FakeExchange>(
+                [alive = sent.back().alive] { *alive = false; });
         };
         result.inFlightChanged = [](const ServerId &, int) {
         };
--- a/persimmonlb/fleetnode/engineinspector.h
+++ b/persimmonlb/fleetnode/engineinspector.h
@@ -55,9 +55,7 @@
     /// Frees what a stopped run left behind, by the answer to its stop; nothing when it left
     /// nothing.
     std::function<std::optional<HttpRequest>(std::string_view body)> releaseRequest;
-    std::function<std::unique_ptr<HttpExchange>(const std::string &address, HttpRequest request,
-                                                Milliseconds deadline, HttpExchangeHooks hooks)>
-        send;
+    HttpSend send;
     std::function<void(const ServerId &engine, std::uint32_t requests)> noteLoad;
     /// Of these runs at the engine, those that nobody waits for.
     std::function<std::vector<std::string>(const ServerId &engine,
--- a/persimmonlb/fleetnode/engineinspector_test.cpp
+++ b/persimmonlb/fleetnode/engineinspector_test.cpp
@@ -4,8 +4,8 @@
 #include "persimmonlb/http/testing/fakesending.h"
 
 using namespace persimmonlb;
-using persimmonlb::testing::FakeExchange;
 using persimmonlb::testing::FakeSending;
+using persimmonlb::testing::recordInto;
 
 namespace
 {
@@ -98,15 +98,7 @@
                 request.target = "release " + std::string(body);
                 return request;
             },
-            .send = [this](const std::string &address, HttpRequest request, Milliseconds,
-                           HttpExchangeHooks hooks) -> std::unique_ptr<HttpExchange> {
-                auto sending = std::make_shared<FakeSending>();
-                sending->address = address;
-                sending->request = std::move(request);
-                sending->hooks = std::move(hooks);
-                sendings.push_back(sending);
-                return std::make_unique<FakeExchange>(sending);
-            },
+            .send = recordInto(sendings),
             .noteLoad
             = [this](const ServerId &engine, std::uint32_t requests) { noted[engine] = requests; },
             .orphansOf =
--- a/persimmonlb/fleetnode/gatewayrole.cpp
+++ b/persimmonlb/fleetnode/gatewayrole.cpp
@@ -71,11 +71,7 @@
 {
     return RelayHooks{
         .codec = deps_.face.codec,
-        .send =
-            [this](const std::string &address, HttpRequest request, Milliseconds deadline,
-                   HttpExchangeHooks hooks) {
-                return deps_.client.start(address, std::move(request), deadline, std::move(hooks));
-            },
+        .send = sendThrough(deps_.client),
         .isEngine = [this](const ServiceName &service) { return isEngine(service); },
         .blockedFor
         = [this](std::uint64_t fingerprint) { return deps_.crashes.blockedFor(fingerprint); },
--- a/persimmonlb/fleetnode/storagerole.cpp
+++ b/persimmonlb/fleetnode/storagerole.cpp
@@ -70,11 +70,7 @@
             },
         .itemRequest = deps_.face.itemRequest,
         .codec = deps_.face.codec,
-        .send =
-            [this](const std::string &address, HttpRequest request, Milliseconds deadline,
-                   HttpExchangeHooks hooks) {
-                return deps_.client.start(address, std::move(request), deadline, std::move(hooks));
-            }};
+        .send = sendThrough(deps_.client)};
 }
 
 EngineInspectorHooks StorageRole::inspectorHooks()
@@ -85,11 +81,7 @@
         .parseLoad = deps_.face.parseLoad,
         .stopRequest = deps_.face.stopRequest,
         .releaseRequest = deps_.face.releaseRequest,
-        .send =
-            [this](const std::string &address, HttpRequest request, Milliseconds deadline,
-                   HttpExchangeHooks hooks) {
-                return deps_.client.start(address, std::move(request), deadline, std::move(hooks));
-            },
+        .send = sendThrough(deps_.client),
         .noteLoad = [this](const ServerId &engine,
                            std::uint32_t requests) { broker_.noteLoad(engine, requests); },
         .orphansOf
--- a/persimmonlb/http/client.cpp
+++ b/persimmonlb/http/client.cpp
@@ -75,4 +75,12 @@
     return std::make_unique<PooledHttpClient>(context, options);
 }
 
+HttpSend sendThrough(HttpClient &client)
+{
+    return [&client](const std::string &address, HttpRequest request, Milliseconds deadline,
+                     HttpExchangeHooks hooks) {
+        return client.start(address, std::move(request), deadline, std::move(hooks));
+    };
+}
+
 } // namespace persimmonlb
--- a/persimmonlb/http/client.h
+++ b/persimmonlb/http/client.h
@@ -53,6 +53,11 @@
     virtual void resume() = 0;
 };
 
+/// Starts an exchange with "ip:port", as HttpClient::start() does.
+using HttpSend
+    = std::function<std::unique_ptr<HttpExchange>(const std::string &address, HttpRequest request,
+                                                  Milliseconds deadline, HttpExchangeHooks hooks)>;
+
 struct HttpClientOptions {
     Milliseconds connectTimeout{1000};
     Milliseconds idleConnectionTimeout{30000};
@@ -85,4 +90,7 @@
         = 0;
 };
 
+/// Sends through a client, which must outlive the function.
+HttpSend sendThrough(HttpClient &client);
+
 } // namespace persimmonlb
--- a/persimmonlb/relay/relayservice.h
+++ b/persimmonlb/relay/relayservice.h
@@ -42,9 +42,7 @@
 
 struct RelayHooks {
     RelayCodec codec;
-    std::function<std::unique_ptr<HttpExchange>(const std::string &address, HttpRequest request,
-                                                Milliseconds deadline, HttpExchangeHooks hooks)>
-        send;
+    HttpSend send;
     /// True for services whose slots are few and held for long.
     std::function<bool(const ServiceName &)> isEngine;
     /// For how long the request must not run, because it crashes servers; zero: it may.
--- a/persimmonlb/relay/relayservice_test.cpp
+++ b/persimmonlb/relay/relayservice_test.cpp
@@ -7,8 +7,8 @@
 #include "persimmonlb/relay/relayservice.h"
 
 using namespace persimmonlb;
-using persimmonlb::testing::FakeExchange;
 using persimmonlb::testing::FakeSending;
+using persimmonlb::testing::recordInto;
 
 namespace
 {
@@ -185,15 +185,7 @@
                        const bool notRun = error.runState() == RunState::NotRun;
                        return HttpResponse{static_cast<std::uint16_t>(notRun ? 503 : 502), {}, {}};
                    }},
-            .send = [this](const std::string &address, HttpRequest request, Milliseconds,
-                           HttpExchangeHooks hooks) -> std::unique_ptr<HttpExchange> {
-                auto sending = std::make_shared<FakeSending>();
-                sending->address = address;
-                sending->request = std::move(request);
-                sending->hooks = std::move(hooks);
-                sendings.push_back(sending);
-                return std::make_unique<FakeExchange>(sending);
-            },
+            .send = recordInto(sendings),
             .isEngine = [](const ServiceName &) { return true; },
             .blockedFor = [this](std::uint64_t) { return blockedFor; },
             .runEnded =
--- a/persimmonlb/serving/onlineservice.h
+++ b/persimmonlb/serving/onlineservice.h
@@ -64,9 +64,7 @@
 struct OnlineHooks {
     /// Calls `fn` once after `delay`, on the decision thread.
     std::function<void(Milliseconds delay, std::function<void()> fn)> after;
-    std::function<std::unique_ptr<HttpExchange>(const std::string &address, HttpRequest request,
-                                                Milliseconds deadline, HttpExchangeHooks hooks)>
-        sendToServer;
+    HttpSend sendToServer;
     std::function<void(const Command &, std::function<void(Outcome<Reply>)>)> propose;
     std::function<std::shared_ptr<const Sheet>()> sheet;
     /// Why no new request may start here now: NotInForce or Draining.
--- a/persimmonlb/serving/testing/fakes.cpp
+++ b/persimmonlb/serving/testing/fakes.cpp
@@ -5,6 +5,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "persimmonlb/http/testing/fakesending.h"
+
 namespace persimmonlb
 {
 
@@ -17,31 +19,6 @@
 constexpr Milliseconds logDelay{5};
 constexpr Milliseconds logTimeout{1000};
 
-/// An exchange that closes its connection when it is destroyed.
-class FakeExchange : public HttpExchange
-{
-public:
-    explicit FakeExchange(std::function<void()> close)
-        : close_(std::move(close))
-    {
-    }
-    FakeExchange(const FakeExchange &) = delete;
-    FakeExchange &operator=(const FakeExchange &) = delete;
-    ~FakeExchange() override
-    {
-        close_();
-    }
-    void pause() override
-    {
-    }
-    void resume() override
-    {
-    }
-
-private:
-    std::function<void()> close_;
-};
-
 std::string token(const std::string &id, std::uint32_t index, bool last,
                   const std::string &text = "t")
 {
@@ -292,7 +269,7 @@
                 [this, connection, request, act] { serve(connection, request, act); });
     endLater(connection, deadline,
              {SendState::Sent, ResultCode::DeadlineExceeded, "deadline of the exchange"});
-    return std::make_unique<FakeExchange>([this, connection] { open_.erase(connection); });
+    return std::make_unique<testing::FakeExchange>([this, connection] { open_.erase(connection); });
 }
 
 void FakeFleet::serve(const ConnectionPtr &connection, const HttpRequest &request, ServerAct act)
