Reading pass: names of roles, peer messages and engine calls stand once; no hash of a body without suspects

Found by reading the change: - fleetstatus named the roles of members a second time; it calls toString(Role) now, so a member in its pre-vote is shown as pre_candidate there as everywhere else (it was 'candidate'). - The reading of a peer's message with its count and log line stood in Node and FleetNode: readPeerMessage. - The four calls of engines stood in FleetFace and in the inspector's hooks: EngineCodec. 'active' followed from 'until'. - StorageRole asked four times whether it leads; the broker was told of its servers in two places. - Each request's whole body was hashed on its way in, and each bulk item's at each run; now a request's only while there are suspects or when a server broke it off, an item's once. The list of suspects was built ten times a second and mostly thrown away. - Two functions with different results were called fingerprintOf: the new one is requestFingerprint. Tests keep their assertions.

--- a/persimmonlb/bulk/bulkrunner.cpp
+++ b/persimmonlb/bulk/bulkrunner.cpp
@@ -155,7 +155,9 @@
     }
     Progress &progress = progressOf(table, key);
     progress.events.reopen();
-    progress.fingerprint = fingerprintOf(spec->path, spec->body);
+    if (progress.fingerprint == 0) {
+        progress.fingerprint = requestFingerprint(spec->path, spec->body);
+    }
     const std::uint64_t number = nextRun_++;
     HttpRequest request
         = hooks_.codec.encode(hooks_.itemRequest(job->second.host, *spec),
--- a/persimmonlb/bulk/bulkrunner_test.cpp
+++ b/persimmonlb/bulk/bulkrunner_test.cpp
@@ -385,7 +385,7 @@
     bench.end(0, ResultCode::BackendFailed);
     BOOST_TEST(bench.sendings.size() == 2U);
     for (const char *server : {"s2", "s3"}) {
-        bench.crashes.noteBroken(fingerprintOf("/x", "b"), ServerId{server});
+        bench.crashes.noteBroken(requestFingerprint("/x", "b"), ServerId{server});
     }
     bench.end(1, ResultCode::BackendFailed);
     bench.pass(30000);
--- a/persimmonlb/crashes/crashledger.cpp
+++ b/persimmonlb/crashes/crashledger.cpp
@@ -57,6 +57,15 @@
     }
 }
 
+void CrashLedger::note(const RunVerdict &verdict)
+{
+    if (verdict.broken) {
+        noteBroken(verdict.fingerprint, verdict.server);
+    } else {
+        noteSurvived(verdict.fingerprint);
+    }
+}
+
 bool CrashLedger::isBlocked(std::uint64_t fingerprint) const
 {
     const auto found = records_.find(fingerprint);
@@ -68,18 +77,16 @@
     const MonotonicTime now = clock_.monotonic();
     for (auto position = records_.begin(); position != records_.end();) {
         Record &record = position->second;
-        const bool wasBlocked = record.blocks > 0;
         if (now < record.blockedUntil) {
             ++position;
             continue;
         }
-        const bool old = now - std::max(record.seenAt, record.blockedUntil) > options_.memory;
-        if (old) {
+        if (now - std::max(record.seenAt, record.blockedUntil) > options_.memory) {
             position = records_.erase(position);
             ++version_;
             continue;
         }
-        if (wasBlocked && record.servers.size() >= options_.serversUntilBlocked) {
+        if (record.blocks > 0 && record.servers.size() >= options_.serversUntilBlocked) {
             // One more server that is lost blocks it again.
             record.servers.erase(record.servers.begin());
             ++version_;
@@ -109,6 +116,11 @@
     return version_;
 }
 
+bool CrashLedger::empty() const
+{
+    return records_.empty();
+}
+
 void CrashLedger::adopt(const CrashSuspects &suspects)
 {
     records_.clear();
@@ -123,7 +135,7 @@
     }
 }
 
-std::uint64_t fingerprintOf(std::string_view target, std::string_view body)
+std::uint64_t requestFingerprint(std::string_view target, std::string_view body)
 {
     return std::max<std::uint64_t>(1, combineHash(stableHash(target), stableHash(body)));
 }
--- a/persimmonlb/crashes/crashledger.h
+++ b/persimmonlb/crashes/crashledger.h
@@ -38,6 +38,7 @@
     void noteBroken(std::uint64_t fingerprint, const ServerId &server);
     /// A server answered, so the request is harmless.
     void noteSurvived(std::uint64_t fingerprint);
+    void note(const RunVerdict &verdict);
     [[nodiscard]] bool isBlocked(std::uint64_t fingerprint) const;
     /// Ends blocks, forgets what is old. Call a few times a second.
     void tick();
@@ -45,6 +46,7 @@
     /// What entry hosts must know. A higher version replaces another of the same leader.
     [[nodiscard]] CrashSuspects suspects() const;
     [[nodiscard]] std::uint64_t version() const;
+    [[nodiscard]] bool empty() const;
     /// Goes on with what another leader told last.
     void adopt(const CrashSuspects &suspects);
 
@@ -66,6 +68,6 @@
 };
 
 /// Path and body of a request as one number; never 0.
-std::uint64_t fingerprintOf(std::string_view target, std::string_view body);
+std::uint64_t requestFingerprint(std::string_view target, std::string_view body);
 
 } // namespace persimmonlb
--- a/persimmonlb/crashes/crashledger_test.cpp
+++ b/persimmonlb/crashes/crashledger_test.cpp
@@ -134,10 +134,10 @@
 
 BOOST_AUTO_TEST_CASE(FingerprintsTellPathsAndBodiesApart)
 {
-    BOOST_TEST(fingerprintOf("/a", "b") == fingerprintOf("/a", "b"));
-    BOOST_TEST(fingerprintOf("/a", "b") != fingerprintOf("/a", "c"));
-    BOOST_TEST(fingerprintOf("/a", "b") != fingerprintOf("/c", "b"));
-    BOOST_TEST(fingerprintOf("/ab", "") != fingerprintOf("/a", "b"));
+    BOOST_TEST(requestFingerprint("/a", "b") == requestFingerprint("/a", "b"));
+    BOOST_TEST(requestFingerprint("/a", "b") != requestFingerprint("/a", "c"));
+    BOOST_TEST(requestFingerprint("/a", "b") != requestFingerprint("/c", "b"));
+    BOOST_TEST(requestFingerprint("/ab", "") != requestFingerprint("/a", "b"));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/persimmonlb/crashes/crashwatch.cpp
+++ b/persimmonlb/crashes/crashwatch.cpp
@@ -35,6 +35,11 @@
     return std::max(Milliseconds(0), found->second - passed);
 }
 
+bool CrashWatch::empty() const
+{
+    return blockedFor_.empty();
+}
+
 bool CrashWatch::isSuspect(std::uint64_t fingerprint) const
 {
     return blockedFor_.contains(fingerprint);
--- a/persimmonlb/crashes/crashwatch.h
+++ b/persimmonlb/crashes/crashwatch.h
@@ -20,6 +20,8 @@
     void take(const CrashSuspects &suspects);
     /// For how long the request must not run; zero: it may.
     [[nodiscard]] Milliseconds blockedFor(std::uint64_t fingerprint) const;
+    /// True while no request is suspected.
+    [[nodiscard]] bool empty() const;
     /// True when the leader wants to know that the request was answered.
     [[nodiscard]] bool isSuspect(std::uint64_t fingerprint) const;
     /// The list as it is now, for a host that begins to lead.
--- a/persimmonlb/daemon/node.cpp
+++ b/persimmonlb/daemon/node.cpp
@@ -9,6 +9,7 @@
 #include "persimmonlb/base/metrics.h"
 #include "persimmonlb/daemon/controlrole.h"
 #include "persimmonlb/daemon/entryrole.h"
+#include "persimmonlb/daemon/peermessage.h"
 #include "persimmonlb/daemon/supervisor.h"
 #include "persimmonlb/daemon/timers.h"
 #include "persimmonlb/wire/mesh.h"
@@ -131,17 +132,12 @@
         boost::asio::post(context, std::move(fn));
     };
     hooks.received = [this](const HostId &from, const std::string &bytes) {
-        const Outcome<PeerMessage> message = decodeMessage(bytes);
-        if (!message.ok()) {
-            metrics.count("persimmonlb_mesh_undecodable_total", {});
-            LogLine(LogLevel::Warning, "peer_message_undecodable")
-                .add("from", from.value)
-                .add("why", message.error().message)
-                .write();
+        const auto message = readPeerMessage(from, bytes, metrics);
+        if (!message) {
             return;
         }
         metrics.count("persimmonlb_mesh_messages_total", {});
-        receive(from, message.value().body);
+        receive(from, message->body);
     };
     hooks.connected = [this](const HostId &peer) {
         LogLine(LogLevel::Info, "peer_connected").add("peer", peer.value).write();
--- a/persimmonlb/fleet/fleetview.h
+++ b/persimmonlb/fleet/fleetview.h
@@ -119,7 +119,7 @@
 
 /// How a server's run of a request ended, told to the leader by the host that sent it.
 struct RunVerdict {
-    std::uint64_t fingerprint = 0; ///< Of the request, see fingerprintOf().
+    std::uint64_t fingerprint = 0; ///< Of the request, see requestFingerprint().
     ServerId server;
     bool broken = false; ///< The server broke it off without an answer; else it answered.
 
--- a/persimmonlb/fleetnode/engineinspector.cpp
+++ b/persimmonlb/fleetnode/engineinspector.cpp
@@ -19,14 +19,13 @@
 
 void EngineInspector::begin()
 {
-    active_ = true;
     next_ = clock_.monotonic();
     until_ = next_ + options_.period;
 }
 
 void EngineInspector::end()
 {
-    active_ = false;
+    until_ = MonotonicTime();
     calls_.clear();
     finished_.clear();
     orphans_.clear();
@@ -41,7 +40,7 @@
     }
     finished_.clear();
     const MonotonicTime now = clock_.monotonic();
-    if (!active_ || now >= until_) {
+    if (now >= until_) {
         return;
     }
     if (now >= next_) {
@@ -79,13 +78,13 @@
 
 void EngineInspector::inspect(const InspectedEngine &engine)
 {
-    ask(engine.address, hooks_.loadRequest(),
+    ask(engine.address, hooks_.codec.loadRequest(),
         [this, engine](std::uint16_t, const std::string &body) { loadArrived(engine, body); });
 }
 
 void EngineInspector::loadArrived(const InspectedEngine &engine, std::string_view body)
 {
-    const auto load = hooks_.parseLoad(body);
+    const auto load = hooks_.codec.parseLoad(body);
     if (!load) {
         LogLine(LogLevel::Warning, "engine_load_unreadable").add("server", engine.id.value).write();
         return;
@@ -130,7 +129,7 @@
     }
     orphans_.pop_front();
     ++stopping_;
-    ask(orphan.engine.address, hooks_.stopRequest(orphan.run, other),
+    ask(orphan.engine.address, hooks_.codec.stopRequest(orphan.run, other),
         [this, orphan, other](std::uint16_t status, const std::string &body) {
             stopAnswered(orphan, other, status, body);
         });
@@ -140,7 +139,7 @@
                                    std::uint16_t status, const std::string &body)
 {
     --stopping_;
-    auto release = hooks_.releaseRequest(body);
+    auto release = hooks_.codec.releaseRequest(body);
     if (!release) {
         // No room there, or the run has ended by itself: the next load tells.
         metrics_.count("persimmonlb_orphan_stops_failed_total",
--- a/persimmonlb/fleetnode/engineinspector.h
+++ b/persimmonlb/fleetnode/engineinspector.h
@@ -46,8 +46,8 @@
     std::size_t stopsAtOnce = 4;
 };
 
-struct EngineInspectorHooks {
-    std::function<std::vector<InspectedEngine>()> engines;
+/// How a platform speaks to engines about their runs.
+struct EngineCodec {
     std::function<HttpRequest()> loadRequest;
     std::function<std::optional<EngineLoad>(std::string_view body)> parseLoad;
     /// Ends a run by moving it to the engine at `other`, if that has a free slot.
@@ -55,6 +55,11 @@
     /// Frees what a stopped run left behind, by the answer to its stop; nothing when it left
     /// nothing.
     std::function<std::optional<HttpRequest>(std::string_view body)> releaseRequest;
+};
+
+struct EngineInspectorHooks {
+    std::function<std::vector<InspectedEngine>()> engines;
+    EngineCodec codec;
     HttpSend send;
     std::function<void(const ServerId &engine, std::uint32_t requests)> noteLoad;
     /// Of these runs at the engine, those that nobody waits for.
@@ -103,8 +108,7 @@
     Clock clock_;
     Metrics &metrics_;
     EngineInspectorHooks hooks_;
-    bool active_ = false;
-    MonotonicTime until_;
+    MonotonicTime until_; ///< Past while it asks nothing.
     MonotonicTime next_;
     std::deque<Orphan> orphans_; ///< That wait to be stopped.
     std::set<std::string> stopped_; ///< Runs; what engines say of them is old.
--- a/persimmonlb/fleetnode/engineinspector_test.cpp
+++ b/persimmonlb/fleetnode/engineinspector_test.cpp
@@ -75,29 +75,29 @@
         metrics,
         EngineInspectorHooks{
             .engines = [this] { return engines; },
-            .loadRequest =
-                [] {
-                    HttpRequest request;
-                    request.target = "load";
-                    return request;
-                },
-            .parseLoad = [this](std::string_view body) -> std::optional<EngineLoad> {
-                return body == "load" ? std::optional(told) : std::nullopt;
-            },
-            .stopRequest =
-                [](const std::string &run, const std::string &other) {
-                    HttpRequest request;
-                    request.target = "stop " + run + " to " + other;
-                    return request;
-                },
-            .releaseRequest = [](std::string_view body) -> std::optional<HttpRequest> {
-                if (body.empty()) {
-                    return std::nullopt;
-                }
-                HttpRequest request;
-                request.target = "release " + std::string(body);
-                return request;
-            },
+            .codec = {.loadRequest =
+                          [] {
+                              HttpRequest request;
+                              request.target = "load";
+                              return request;
+                          },
+                      .parseLoad = [this](std::string_view body) -> std::optional<EngineLoad> {
+                          return body == "load" ? std::optional(told) : std::nullopt;
+                      },
+                      .stopRequest =
+                          [](const std::string &run, const std::string &other) {
+                              HttpRequest request;
+                              request.target = "stop " + run + " to " + other;
+                              return request;
+                          },
+                      .releaseRequest = [](std::string_view body) -> std::optional<HttpRequest> {
+                          if (body.empty()) {
+                              return std::nullopt;
+                          }
+                          HttpRequest request;
+                          request.target = "release " + std::string(body);
+                          return request;
+                      }},
             .send = recordInto(sendings),
             .noteLoad
             = [this](const ServerId &engine, std::uint32_t requests) { noted[engine] = requests; },
--- a/persimmonlb/fleetnode/fleetface.h
+++ b/persimmonlb/fleetnode/fleetface.h
@@ -25,12 +25,7 @@
     /// The request that runs an item of a bulk job.
     std::function<HttpRequest(const std::string &host, const BulkItemSpec &item)> itemRequest;
 
-    /// Asks an engine what it is doing, and reads the answer. Nothing when the answer is none.
-    std::function<HttpRequest()> loadRequest;
-    std::function<std::optional<EngineLoad>(std::string_view body)> parseLoad;
-    /// See EngineInspectorHooks.
-    std::function<HttpRequest(const std::string &run, const std::string &other)> stopRequest;
-    std::function<std::optional<HttpRequest>(std::string_view body)> releaseRequest;
+    EngineCodec engine;
 
     HttpHandler callers;
     HttpHandler directory;
--- a/persimmonlb/fleetnode/fleetmesh.cpp
+++ b/persimmonlb/fleetnode/fleetmesh.cpp
@@ -4,6 +4,7 @@
 #include <boost/asio/post.hpp>
 
 #include "persimmonlb/base/logline.h"
+#include "persimmonlb/daemon/peermessage.h"
 #include "persimmonlb/fleetnode/internal/fleetparts.h"
 
 namespace persimmonlb
@@ -185,16 +186,9 @@
         boost::asio::post(context, std::move(fn));
     };
     hooks.received = [this](const HostId &from, const std::string &bytes) {
-        Outcome<PeerMessage> message = decodeMessage(bytes);
-        if (!message.ok()) {
-            metrics.count("persimmonlb_mesh_undecodable_total", {});
-            LogLine(LogLevel::Warning, "peer_message_undecodable")
-                .add("from", from.value)
-                .add("why", message.error().message)
-                .write();
-            return;
+        if (auto message = readPeerMessage(from, bytes, metrics)) {
+            supervisor.guard(loopChild, [&] { receive(from, std::move(*message)); });
         }
-        supervisor.guard(loopChild, [&] { receive(from, std::move(message.value())); });
     };
     hooks.connected = [this](const HostId &peer) {
         LogLine(LogLevel::Info, "peer_connected").add("peer", peer.value).write();
--- a/persimmonlb/fleetnode/fleetstatus.cpp
+++ b/persimmonlb/fleetnode/fleetstatus.cpp
@@ -10,22 +10,6 @@
 
 using Json = nlohmann::json;
 
-std::string_view roleName(Role role)
-{
-    switch (role) {
-    case Role::Leader:
-        return "leader";
-    case Role::Candidate:
-    case Role::PreCandidate:
-        return "candidate";
-    case Role::Follower:
-        return "follower";
-    case Role::Learner:
-        break;
-    }
-    return "learner";
-}
-
 Json groupJson(const GroupStatus &group)
 {
     Json members = Json::array();
@@ -33,7 +17,7 @@
         members.push_back(
             {{"member", member.host.value}, {"voter", member.voter}, {"match", member.matchIndex}});
     }
-    return {{"role", roleName(group.role)},
+    return {{"role", toString(group.role)},
             {"term", group.term},
             {"commit", group.commitIndex},
             {"applied", group.appliedIndex},
--- a/persimmonlb/fleetnode/storageleading.cpp
+++ b/persimmonlb/fleetnode/storageleading.cpp
@@ -38,12 +38,9 @@
     if (registry_.version() == pushedRegistry_) {
         return;
     }
-    const std::vector<FleetServer> servers = registry_.servers();
-    broker_.setServers(servers, [this](const ServiceName &service) {
-        return slotCapacity(routes_.get(), service);
-    });
+    refreshBroker();
     std::set<ServerId> usable;
-    for (const FleetServer &server : servers) {
+    for (const FleetServer &server : registry_.servers()) {
         if (!server.draining) {
             usable.insert(server.id);
         }
@@ -52,6 +49,13 @@
     pushView();
 }
 
+void StorageRole::refreshBroker()
+{
+    broker_.setServers(registry_.servers(), [this](const ServiceName &service) {
+        return slotCapacity(routes_.get(), service);
+    });
+}
+
 void StorageRole::announce(const ServerNotice &notice, std::function<void(bool)> done)
 {
     if (leads_) {
@@ -95,6 +99,19 @@
     return routes_;
 }
 
+void StorageRole::receiveAsLeader(const HostId &from, const PeerBody &body)
+{
+    if (const auto *request = std::get_if<SlotRequest>(&body)) {
+        broker_.request(from, *request);
+    } else if (const auto *end = std::get_if<SlotEnd>(&body)) {
+        broker_.end(from, *end);
+    } else if (const auto *held = std::get_if<SlotsHeld>(&body)) {
+        broker_.held(from, *held);
+    } else if (const auto *verdict = std::get_if<RunVerdict>(&body)) {
+        crashes_.note(*verdict);
+    }
+}
+
 // ---- leading ------------------------------------------------------------------------------------
 
 void StorageRole::leadershipChanged(bool leads)
@@ -179,9 +196,7 @@
     }
     pushedRoutes_ = inForce.version;
     routes();
-    broker_.setServers(registry_.servers(), [this](const ServiceName &service) {
-        return slotCapacity(routes_.get(), service);
-    });
+    refreshBroker();
     deps_.sendToAll(RoutesPush{inForce.version, inForce.text});
 }
 
@@ -190,10 +205,11 @@
     crashes_.tick();
     const MonotonicTime now = deps_.clock.monotonic();
     const bool changed = crashes_.version() != pushedCrashes_;
-    CrashSuspects told = crashes_.suspects();
-    if (!changed && (told.suspects.empty() || now < nextCrashes_)) {
+    const bool due = now >= nextCrashes_ && !crashes_.empty();
+    if (!changed && !due) {
         return;
     }
+    CrashSuspects told = crashes_.suspects();
     pushedCrashes_ = told.version;
     nextCrashes_ = now + crashesInterval;
     told.term = control_->status().term;
--- a/persimmonlb/fleetnode/storagerole.cpp
+++ b/persimmonlb/fleetnode/storagerole.cpp
@@ -29,6 +29,12 @@
     return timeouts;
 }
 
+bool isForLeader(const PeerBody &body)
+{
+    return std::holds_alternative<SlotRequest>(body) || std::holds_alternative<SlotEnd>(body)
+        || std::holds_alternative<SlotsHeld>(body) || std::holds_alternative<RunVerdict>(body);
+}
+
 } // namespace
 
 StorageRole::StorageRole(StorageRoleDeps deps)
@@ -77,10 +83,7 @@
 {
     return EngineInspectorHooks{
         .engines = [this] { return engines(); },
-        .loadRequest = deps_.face.loadRequest,
-        .parseLoad = deps_.face.parseLoad,
-        .stopRequest = deps_.face.stopRequest,
-        .releaseRequest = deps_.face.releaseRequest,
+        .codec = deps_.face.engine,
         .send = sendThrough(deps_.client),
         .noteLoad = [this](const ServerId &engine,
                            std::uint32_t requests) { broker_.noteLoad(engine, requests); },
@@ -288,29 +291,9 @@
         }
         return;
     }
-    if (const auto *request = std::get_if<SlotRequest>(&body)) {
-        if (leads_) {
-            broker_.request(from, *request);
-        }
-        return;
-    }
-    if (const auto *end = std::get_if<SlotEnd>(&body)) {
+    if (isForLeader(body)) {
         if (leads_) {
-            broker_.end(from, *end);
-        }
-        return;
-    }
-    if (const auto *held = std::get_if<SlotsHeld>(&body)) {
-        if (leads_) {
-            broker_.held(from, *held);
-        }
-        return;
-    }
-    if (const auto *verdict = std::get_if<RunVerdict>(&body)) {
-        if (leads_ && verdict->broken) {
-            crashes_.noteBroken(verdict->fingerprint, verdict->server);
-        } else if (leads_) {
-            crashes_.noteSurvived(verdict->fingerprint);
+            receiveAsLeader(from, body);
         }
         return;
     }
--- a/persimmonlb/fleetnode/storagerole.h
+++ b/persimmonlb/fleetnode/storagerole.h
@@ -108,6 +108,9 @@
     void pushRoutes();
     void pushCrashes();
     void serversChanged();
+    /// Tells the broker of the servers and of what the routes say of them.
+    void refreshBroker();
+    void receiveAsLeader(const HostId &from, const PeerBody &body);
     void takeReport(const HostId &from, const HostReport &report);
     void takeNotice(const HostId &from, const ServerNotice &notice);
     bool applyNotice(const ServerNotice &notice);
--- a/persimmonlb/fleetnode/testing/loopbackfleet.cpp
+++ b/persimmonlb/fleetnode/testing/loopbackfleet.cpp
@@ -104,16 +104,16 @@
     face.itemRequest = [](const std::string &, const BulkItemSpec &) {
         return HttpRequest();
     };
-    face.loadRequest = [] {
+    face.engine.loadRequest = [] {
         return HttpRequest();
     };
-    face.parseLoad = [](std::string_view) {
+    face.engine.parseLoad = [](std::string_view) {
         return std::optional<EngineLoad>();
     };
-    face.stopRequest = [](const std::string &, const std::string &) {
+    face.engine.stopRequest = [](const std::string &, const std::string &) {
         return HttpRequest();
     };
-    face.releaseRequest = [](std::string_view) {
+    face.engine.releaseRequest = [](std::string_view) {
         return std::optional<HttpRequest>();
     };
     face.callers = none;
--- a/persimmonlb/relay/internal/relaycall.cpp
+++ b/persimmonlb/relay/internal/relaycall.cpp
@@ -40,7 +40,6 @@
     , request_(std::move(request))
     , responder_(std::move(responder))
     , serviceName_(chooseService(request_.route, service_.random_()))
-    , fingerprint_(fingerprintOf(request_.request.target, request_.request.body))
     , startedAt_(service_.clock_.monotonic())
     , deadline_(startedAt_ + shorter(request_.callerWaits, request_.route.timeout))
     , progressAt_(startedAt_)
@@ -78,8 +77,7 @@
 void RelayService::Call::acquire()
 {
     stage_ = Stage::Waiting;
-    if (const Milliseconds blocked = service_.hooks_.blockedFor(fingerprint_);
-        blocked.count() > 0) {
+    if (const Milliseconds blocked = blockedFor(); blocked.count() > 0) {
         Error error
             = makeError(ResultCode::Quarantined, "earlier runs of this request crashed servers");
         error.retryAfter = blocked;
@@ -245,10 +243,26 @@
                   makeError(end.code, end.message));
 }
 
+std::uint64_t RelayService::Call::fingerprint()
+{
+    if (!fingerprint_) {
+        fingerprint_ = requestFingerprint(request_.request.target, request_.request.body);
+    }
+    return *fingerprint_;
+}
+
+Milliseconds RelayService::Call::blockedFor()
+{
+    return service_.hooks_.anySuspects() ? service_.hooks_.blockedFor(fingerprint())
+                                         : Milliseconds(0);
+}
+
 void RelayService::Call::tellVerdict(bool broken)
 {
-    service_.hooks_.runEnded(
-        RunVerdict{.fingerprint = fingerprint_, .server = slot_.server, .broken = broken});
+    if (broken || service_.hooks_.anySuspects()) {
+        service_.hooks_.runEnded(
+            RunVerdict{.fingerprint = fingerprint(), .server = slot_.server, .broken = broken});
+    }
 }
 
 void RelayService::Call::wholeAnswerArrived()
--- a/persimmonlb/relay/internal/relaycall.h
+++ b/persimmonlb/relay/internal/relaycall.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -36,6 +37,8 @@
     void exchangeEnded(const HttpExchangeEnd &end);
     void wholeAnswerArrived();
     void tellVerdict(bool broken);
+    std::uint64_t fingerprint();
+    [[nodiscard]] Milliseconds blockedFor();
     void answerComplete();
 
     /// The attempt is over without an answer for the caller: tries again or gives up.
@@ -58,7 +61,7 @@
     RelayRequest request_;
     std::shared_ptr<HttpResponder> responder_;
     ServiceName serviceName_;
-    std::uint64_t fingerprint_;
+    std::optional<std::uint64_t> fingerprint_; ///< Taken when it is first needed.
     MonotonicTime startedAt_;
     MonotonicTime deadline_;
 
--- a/persimmonlb/relay/relayservice.h
+++ b/persimmonlb/relay/relayservice.h
@@ -45,9 +45,11 @@
     HttpSend send;
     /// True for services whose slots are few and held for long.
     std::function<bool(const ServiceName &)> isEngine;
+    /// True while some request is suspected to crash servers; none is blocked otherwise.
+    std::function<bool()> anySuspects;
     /// For how long the request must not run, because it crashes servers; zero: it may.
     std::function<Milliseconds(std::uint64_t fingerprint)> blockedFor;
-    /// A server answered a request or broke it off.
+    /// A server broke a request off or, told while there are suspects, answered it.
     std::function<void(const RunVerdict &verdict)> runEnded;
 };
 
--- a/persimmonlb/relay/relayservice_test.cpp
+++ b/persimmonlb/relay/relayservice_test.cpp
@@ -187,6 +187,7 @@
                    }},
             .send = recordInto(sendings),
             .isEngine = [](const ServiceName &) { return true; },
+            .anySuspects = [] { return true; },
             .blockedFor = [this](std::uint64_t) { return blockedFor; },
             .runEnded =
                 [this](const RunVerdict &verdict) {
