--- a/persimmonlb/bulk/bulkrunner_test.cpp
+++ b/persimmonlb/bulk/bulkrunner_test.cpp
@@ -1,10 +1,12 @@
 #include <boost/test/unit_test.hpp>
 
 #include "persimmonlb/bulk/bulkrunner.h"
+#include "persimmonlb/bulk/testing/fakebulkstate.h"
 #include "persimmonlb/http/testing/fakesending.h"
-#include "persimmonlb/store/memorystore.h"
 
 using namespace persimmonlb;
+using persimmonlb::testing::batchRoutes;
+using persimmonlb::testing::FakeBulkState;
 using persimmonlb::testing::FakeExchange;
 using persimmonlb::testing::FakeSending;
 
@@ -43,17 +45,6 @@
         server.address = "s1:80";
         server.slots = 2;
         broker.setServers({server}, [](const ServiceName &) { return SlotCapacity{2, 0}; });
-        Route route;
-        route.name = "r";
-        route.host = "a.example";
-        route.pathPrefix = "/";
-        route.kind = RouteKind::Batch;
-        route.services = {{engine, 1}};
-        RoutedService service;
-        service.name = engine;
-        auto made = capture([&] { return RouteTable::make(1, {route}, {service}, {}); });
-        BOOST_REQUIRE(made.ok());
-        routes = std::make_shared<const RouteTable>(std::move(made.value()));
     }
 
     void accept(const std::string &id, int items, int dueAfterMs = 18000)
@@ -74,21 +65,7 @@
                                      .body = "b",
                                      .tokens = 9});
         }
-        apply(command);
-    }
-    void apply(const Command &command)
-    {
-        MutationList changes;
-        if (const auto *accepted = std::get_if<AcceptBulk>(&command)) {
-            table.accept(*accepted, changes);
-        } else if (const auto *recorded = std::get_if<RecordBulk>(&command)) {
-            table.record(*recorded, changes);
-        } else if (const auto *ended = std::get_if<EndBulk>(&command)) {
-            table.end(*ended, changes);
-        } else if (const auto *saved = std::get_if<SaveBulkProgress>(&command)) {
-            table.saveProgress(*saved, changes);
-        }
-        BOOST_REQUIRE(capture([&] { return memory.stateStore().write(changes); }).ok());
+        state.apply(command);
     }
     void pass(int ms)
     {
@@ -114,16 +91,13 @@
     }
     std::vector<BulkResult> results(const std::string &id) const
     {
-        return table.page({.id = JobId{id}}).results;
+        return state.table().page({.id = JobId{id}}).results;
     }
 
     MonotonicTime now;
     WallTime wall = noon;
-    MemoryStore memory{17, [](const std::function<void()> &fn) {
-                           fn();
-                       }};
-    BulkTable table{memory.stateStore()};
-    std::shared_ptr<const RouteTable> routes;
+    FakeBulkState state;
+    std::shared_ptr<const RouteTable> routes = batchRoutes(engine);
     std::vector<std::shared_ptr<Sending>> sendings;
     Metrics metrics;
     Clock clock{.monotonic = [this] { return now; },
@@ -149,11 +123,11 @@
         crashes,
         metrics,
         BulkRunnerHooks{
-            .table = [this]() -> const BulkTable * { return &table; },
+            .table = [this]() -> const BulkTable * { return &state.table(); },
             .routes = [this] { return routes; },
             .propose =
                 [this](const Command &command, const std::function<void(Outcome<Reply>)> &done) {
-                    apply(command);
+                    state.apply(command);
                     done(Reply(PlainReply{}));
                 },
             .itemRequest =
@@ -357,7 +331,7 @@
     Bench bench;
     bench.accept("a", 2);
     bench.pass(20);
-    bench.apply(EndBulk{JobId{"a"}, bench.wall});
+    bench.state.apply(EndBulk{JobId{"a"}, bench.wall});
     bench.pass(20);
     BOOST_TEST(bench.sending(0).closed);
     BOOST_TEST(bench.runner.running() == 0U);
--- a/persimmonlb/fleetnode/fleet_bench.cpp
+++ b/persimmonlb/fleetnode/fleet_bench.cpp
@@ -39,11 +39,9 @@
 
 void form(LoopbackFleet &fleet)
 {
-    for (const int number : {2, 3, 4}) {
-        fleet.startStore(number, true);
-    }
+    require(fleet.formGroup(), "forming");
     fleet.startEntry(entryHost);
-    require(fleet.propose(entryHost, PutRoutes{1, "1", WallTime()}), "forming");
+    require(fleet.propose(entryHost, PutRoutes{1, "1", WallTime()}), "the first routes");
 }
 
 AcceptBulk job(std::uint64_t number, std::size_t items, std::size_t bytes)
@@ -97,20 +95,6 @@
                 rounds, took[took.size() / 2], took.back());
 }
 
-bool isVoter(LoopbackFleet &fleet, int number)
-{
-    if (fleet.leader() == 0) {
-        return false;
-    }
-    HostReport report;
-    fleet.node(number).storage()->fillReport(report);
-    const GroupStatus group = fleet.node(fleet.leader()).storage()->group();
-    return !group.changeInProgress
-        && std::ranges::any_of(group.members, [&report](const MemberStatus &member) {
-               return member.host == report.member && member.voter;
-           });
-}
-
 /// From the start of a host with an empty disk until it votes.
 void measureCatchUp(std::size_t megabytes)
 {
@@ -122,15 +106,12 @@
         require(fleet.propose(fleet.leader(), job(number, itemsPerJob, itemSize)), "a job");
     }
     const double filled = secondsSince(filling);
-    int lost = 0;
-    for (const int number : {2, 3, 4}) {
-        lost = number != fleet.leader() ? number : lost;
-    }
+    const int lost = fleet.follower();
     fleet.kill(lost);
     fleet.wipe(lost);
     const auto begin = std::chrono::steady_clock::now();
     fleet.startStore(lost, false);
-    require(fleet.runUntil([&] { return isVoter(fleet, lost); }), "catching up");
+    require(fleet.runUntil([&] { return fleet.isVoter(lost); }), "catching up");
     std::printf("catch-up: %zu MB, written in %.1f s, from start to vote %.2f s\n", megabytes,
                 filled, secondsSince(begin));
 }
--- a/persimmonlb/fleetnode/fleetnode_test.cpp
+++ b/persimmonlb/fleetnode/fleetnode_test.cpp
@@ -20,36 +20,7 @@
 
 void formGroup(LoopbackFleet &fleet)
 {
-    for (const int number : {2, 3, 4}) {
-        fleet.startStore(number, true);
-    }
-    BOOST_REQUIRE(fleet.runUntil([&fleet] { return fleet.leader() != 0; }));
-}
-
-/// A storage host of the group that does not lead, other than `other`.
-int follower(const LoopbackFleet &fleet, int other = 0)
-{
-    for (const int number : {2, 3, 4}) {
-        if (number != fleet.leader() && number != other) {
-            return number;
-        }
-    }
-    return 0;
-}
-
-/// True once the leader counts on the host's present store, and changes no members any more.
-bool isVoter(LoopbackFleet &fleet, int number)
-{
-    if (fleet.leader() == 0) {
-        return false;
-    }
-    HostReport report;
-    fleet.node(number).storage()->fillReport(report);
-    const GroupStatus group = fleet.node(fleet.leader()).storage()->group();
-    return !group.changeInProgress
-        && std::ranges::any_of(group.members, [&report](const MemberStatus &member) {
-               return member.host == report.member && member.voter;
-           });
+    BOOST_REQUIRE(fleet.formGroup());
 }
 
 } // namespace
@@ -72,7 +43,7 @@
     LoopbackFleet fleet;
     formGroup(fleet);
     BOOST_REQUIRE(fleet.propose(fleet.leader(), routes(7)));
-    fleet.setSeeds({follower(fleet)});
+    fleet.setSeeds({fleet.follower()});
     fleet.startEntry(9);
     BOOST_TEST(fleet.runUntil([&fleet] { return fleet.node(9).gateway()->isReady(); }));
 }
@@ -82,14 +53,14 @@
     LoopbackFleet fleet;
     formGroup(fleet);
     BOOST_REQUIRE(fleet.propose(fleet.leader(), routes(7)));
-    const int lost = follower(fleet);
+    const int lost = fleet.follower();
     fleet.kill(lost);
     fleet.wipe(lost);
     fleet.startStore(lost, false);
     // Whoever leads by then: removing the folder may hold up all hosts of this one thread.
-    BOOST_REQUIRE(fleet.runUntil([&] { return isVoter(fleet, lost); }));
+    BOOST_REQUIRE(fleet.runUntil([&] { return fleet.isVoter(lost); }));
     BOOST_REQUIRE(fleet.propose(fleet.leader(), routes(8)));
-    fleet.kill(follower(fleet, lost));
+    fleet.kill(fleet.follower(lost));
     BOOST_TEST(fleet.propose(lost, routes(9)));
 }
 
@@ -138,7 +109,7 @@
     BOOST_REQUIRE(fleet.runUntil([&] { return fleet.leader() != 0; }));
     BOOST_TEST(fleet.propose(failing, routes(8)));
     // Its store was opened again: it is needed for the majority now.
-    fleet.kill(follower(fleet, failing));
+    fleet.kill(fleet.follower(failing));
     BOOST_TEST(fleet.propose(failing, routes(9)));
 }
 
@@ -171,7 +142,7 @@
     fleet.startEntry(9);
     formGroup(fleet);
     BOOST_REQUIRE(fleet.propose(fleet.leader(), routes(7)));
-    FleetNode &asked = fleet.node(follower(fleet));
+    FleetNode &asked = fleet.node(fleet.follower());
     const auto allHaveRoutes = [&asked] {
         const FleetStatus status = asked.status();
         return status.hosts.size() == 4U
--- a/persimmonlb/fleetnode/testing/loopbackfleet.cpp
+++ b/persimmonlb/fleetnode/testing/loopbackfleet.cpp
@@ -1,5 +1,6 @@
 #include "persimmonlb/fleetnode/testing/loopbackfleet.h"
 
+#include <algorithm>
 #include <chrono>
 #include <cstdlib>
 #include <stdexcept>
@@ -246,6 +247,38 @@
     return 0;
 }
 
+bool LoopbackFleet::formGroup()
+{
+    for (const int number : firstStores) {
+        startStore(number, true);
+    }
+    return runUntil([this] { return leader() != 0; });
+}
+
+int LoopbackFleet::follower(int other) const
+{
+    for (const int number : firstStores) {
+        if (number != leader() && number != other) {
+            return number;
+        }
+    }
+    return 0;
+}
+
+bool LoopbackFleet::isVoter(int number)
+{
+    if (leader() == 0) {
+        return false;
+    }
+    HostReport report;
+    node(number).storage()->fillReport(report);
+    const GroupStatus group = node(leader()).storage()->group();
+    return !group.changeInProgress
+        && std::ranges::any_of(group.members, [&report](const MemberStatus &member) {
+               return member.host == report.member && member.voter;
+           });
+}
+
 void LoopbackFleet::turn()
 {
     std::size_t handled = 0;
--- a/persimmonlb/fleetnode/testing/loopbackfleet.h
+++ b/persimmonlb/fleetnode/testing/loopbackfleet.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <array>
 #include <cstdint>
 #include <filesystem>
 #include <functional>
@@ -32,6 +33,8 @@
     /// Starts the storage host 127.0.0.`number` with the data folder it had.
     void startStore(int number, bool mayForm);
     void startEntry(int number);
+    /// Starts the three hosts of the first seeds with a new group; false when none of them leads.
+    bool formGroup();
     /// Ends a node without a planned stop.
     void kill(int number);
     void wipe(int number);
@@ -46,6 +49,10 @@
     [[nodiscard]] boost::asio::io_context &context(int number);
     /// Number of the storage host that leads, or 0.
     [[nodiscard]] int leader() const;
+    /// A storage host of the first three that does not lead, other than `other`.
+    [[nodiscard]] int follower(int other = 0) const;
+    /// True once the leader counts on the host's present store, and changes no members any more.
+    [[nodiscard]] bool isVoter(int number);
     /// Lets every node work until `done` or some twenty seconds have passed.
     bool runUntil(const std::function<bool()> &done);
     /// Lets every node work for so long, and calls `step` between their turns.
@@ -56,6 +63,8 @@
     bool propose(int through, const Command &command);
 
 private:
+    static constexpr std::array<int, 3> firstStores{2, 3, 4};
+
     struct Process {
         boost::asio::io_context context;
         std::unique_ptr<FleetNode> node;
@@ -69,7 +78,7 @@
 
     std::filesystem::path folder_;
     std::uint16_t meshPort_;
-    std::vector<int> seeds_{2, 3, 4};
+    std::vector<int> seeds_{firstStores.begin(), firstStores.end()};
     std::map<int, int> parsesThatThrow_; ///< By host.
     std::map<int, std::unique_ptr<Process>> processes_;
 };
--- a/persimmonlb/relay/relayservice_test.cpp
+++ b/persimmonlb/relay/relayservice_test.cpp
@@ -1,13 +1,14 @@
-#include <deque>
 #include <memory>
 
 #include <boost/test/unit_test.hpp>
 
 #include "persimmonlb/http/testing/fakesending.h"
 #include "persimmonlb/relay/relayservice.h"
+#include "persimmonlb/testing/laterqueue.h"
 
 using namespace persimmonlb;
 using persimmonlb::testing::FakeSending;
+using persimmonlb::testing::LaterQueue;
 using persimmonlb::testing::recordInto;
 
 namespace
@@ -94,23 +95,14 @@
         request.callerWaits = Milliseconds(5000);
         request.request.method = "POST";
         relays.relay(request, caller);
-        settle();
-    }
-    /// Runs what was put off.
-    void settle()
-    {
-        while (!put.empty()) {
-            const auto next = std::move(put.front());
-            put.pop_front();
-            next();
-        }
+        later.run();
     }
     void pass(int ms)
     {
         now += Milliseconds(ms);
         slots.tick();
         relays.tick();
-        settle();
+        later.run();
     }
     FakeSending &last()
     {
@@ -119,22 +111,22 @@
     void head(std::uint16_t status)
     {
         last().hooks.head(HttpResponseHead{status, {}});
-        settle();
+        later.run();
     }
     void chunk(const std::string &bytes)
     {
         last().hooks.chunk(bytes);
-        settle();
+        later.run();
     }
     void end(ResultCode code, SendState state = SendState::Sent)
     {
         const auto sending = sendings.back();
         sending->hooks.end(HttpExchangeEnd{state, code, "test"});
-        settle();
+        later.run();
     }
 
     MonotonicTime now;
-    std::deque<std::function<void()>> put;
+    LaterQueue later;
     std::vector<std::shared_ptr<FakeSending>> sendings;
     std::vector<std::optional<std::uint64_t>> resumedBehind;
     Milliseconds blockedFor{0};
@@ -157,7 +149,7 @@
                         .isBrokered = [](const ServiceName &) { return false; },
                         .later =
                             [this](std::function<void()> fn) {
-                                put.push_back(std::move(fn));
+                                later.put(std::move(fn));
                             }}};
     std::shared_ptr<FakeResponder> caller = std::make_shared<FakeResponder>();
     RelayService relays{
--- a/persimmonlb/slots/slotclient_test.cpp
+++ b/persimmonlb/slots/slotclient_test.cpp
@@ -1,10 +1,11 @@
-#include <deque>
 
 #include <boost/test/unit_test.hpp>
 
 #include "persimmonlb/slots/slotclient.h"
+#include "persimmonlb/testing/laterqueue.h"
 
 using namespace persimmonlb;
+using persimmonlb::testing::LaterQueue;
 
 namespace
 {
@@ -42,27 +43,19 @@
         request.giveUpAfterMs = 5000;
         const std::uint64_t ticket = client.acquire(
             request, [this](const SlotAnswer &answer) { answers.push_back(answer); });
-        settle();
+        later.run();
         return ticket;
     }
-    void settle()
-    {
-        while (!put.empty()) {
-            const auto next = std::move(put.front());
-            put.pop_front();
-            next();
-        }
-    }
     void pass(int ms)
     {
         now += Milliseconds(ms);
         client.tick();
-        settle();
+        later.run();
     }
 
     MonotonicTime now;
     bool connected = true;
-    std::deque<std::function<void()>> put;
+    LaterQueue later;
     std::vector<std::pair<HostId, SlotRequest>> asked;
     std::vector<SlotEnd> ends;
     std::vector<SlotsHeld> told;
@@ -96,7 +89,7 @@
                                       .isBrokered = [](const ServiceName &) { return true; },
                                       .later =
                                           [this](std::function<void()> fn) {
-                                              put.push_back(std::move(fn));
+                                              later.put(std::move(fn));
                                           }}};
 };
 
--- a/persimmonlb/testing/enginemodel.cpp
+++ b/persimmonlb/testing/enginemodel.cpp
@@ -11,13 +11,13 @@
 namespace
 {
 
-constexpr std::size_t bytesPerToken = 4;
 constexpr std::uint32_t tokensPerBlock = 16;
-constexpr std::size_t bytesPerBlock = bytesPerToken * tokensPerBlock;
+constexpr std::size_t bytesPerBlock = engineBytesPerToken * tokensPerBlock;
 
 std::uint32_t tokensOf(std::string_view prompt)
 {
-    return static_cast<std::uint32_t>((prompt.size() + bytesPerToken - 1) / bytesPerToken);
+    return static_cast<std::uint32_t>((prompt.size() + engineBytesPerToken - 1)
+                                      / engineBytesPerToken);
 }
 
 } // namespace
--- a/persimmonlb/testing/enginemodel.h
+++ b/persimmonlb/testing/enginemodel.h
@@ -15,6 +15,9 @@
 namespace persimmonlb
 {
 
+/// Of a prompt: as many bytes count as one token.
+inline constexpr std::size_t engineBytesPerToken = 4;
+
 /// Prompt blocks whose KV entries an engine still holds, least recently used first out.
 class PrefixCache
 {
--- a/persimmonlb/testing/trial/brokerscheduler.cpp
+++ b/persimmonlb/testing/trial/brokerscheduler.cpp
@@ -1,12 +1,11 @@
 #include <cstdlib>
-#include <stdexcept>
 #include <utility>
 
 #include "persimmonlb/base/metrics.h"
 #include "persimmonlb/bulk/bulkrunner.h"
+#include "persimmonlb/bulk/testing/fakebulkstate.h"
 #include "persimmonlb/crashes/crashledger.h"
 #include "persimmonlb/slots/slotbroker.h"
-#include "persimmonlb/store/memorystore.h"
 #include "persimmonlb/testing/trial/scheduler.h"
 
 namespace persimmonlb::trial
@@ -17,7 +16,6 @@
 
 const ServiceName engine{"lm"};
 constexpr const char *resumeHeader = "resume-behind";
-constexpr Milliseconds firstEventAllowance{80}; ///< As in RelayOptions.
 constexpr Milliseconds tickInterval{20};
 constexpr Milliseconds commitTime{3}; ///< Of a command in the replicated log.
 constexpr std::uint64_t tokensPerEvent = 8;
@@ -43,10 +41,10 @@
         tick();
     }
     void arrive(const Attempt &attempt);
-    void ended(std::uint64_t attempt, bool whole);
+    void ended(std::uint64_t attempt, std::size_t server, bool whole);
     void acceptJob(const std::vector<std::pair<std::uint64_t, BatchItem>> &items,
                    Milliseconds dueIn);
-    void announceServers();
+    void serverChanged(std::size_t server, bool up);
 
     [[nodiscard]] std::uint32_t batchRunning() const
     {
@@ -93,13 +91,13 @@
     std::unique_ptr<HttpExchange> sendItem(const std::string &address, const HttpRequest &request,
                                            const HttpExchangeHooks &hooks);
     void apply(const Command &command);
+    void announceServers();
     void tick();
 
     SchedulerWorld world_;
     Clock clock_;
     Metrics metrics_;
-    MemoryStore memory_;
-    BulkTable table_;
+    testing::FakeBulkState state_;
     std::shared_ptr<const RouteTable> routes_;
     SlotBroker broker_;
     CrashLedger crashes_;
@@ -110,26 +108,10 @@
     std::uint64_t nextJob_ = 1;
 };
 
-std::shared_ptr<const RouteTable> makeRoutes()
-{
-    Route route;
-    route.name = "batch";
-    route.host = "a.example";
-    route.pathPrefix = "/";
-    route.kind = RouteKind::Batch;
-    route.services = {{engine, 1}};
-    RoutedService service;
-    service.name = engine;
-    auto made = capture([&] { return RouteTable::make(1, {route}, {service}, {}); });
-    return std::make_shared<const RouteTable>(std::move(made.value()));
-}
-
 BrokerScheduler::BrokerScheduler(SchedulerWorld world)
     : world_(std::move(world))
     , clock_(world_.time.clock())
-    , memory_(1, [](const std::function<void()> &fn) { fn(); })
-    , table_(memory_.stateStore())
-    , routes_(makeRoutes())
+    , routes_(testing::batchRoutes(engine))
     , broker_(SlotBrokerOptions{}, clock_, world_.random, brokerHooks())
     , crashes_(CrashLedgerOptions{}, clock_)
     , runner_(BulkRunnerOptions{}, clock_, broker_, crashes_, metrics_, runnerHooks())
@@ -169,7 +151,7 @@
 {
     BulkRunnerHooks hooks;
     hooks.table = [this]() -> const BulkTable * {
-        return &table_;
+        return &state_.table();
     };
     hooks.routes = [this] {
         return routes_;
@@ -233,22 +215,16 @@
 
 void BrokerScheduler::apply(const Command &command)
 {
-    MutationList changes;
-    if (const auto *accepted = std::get_if<AcceptBulk>(&command)) {
-        table_.accept(*accepted, changes);
-    } else if (const auto *saved = std::get_if<SaveBulkProgress>(&command)) {
-        table_.saveProgress(*saved, changes);
-    } else if (const auto *recorded = std::get_if<RecordBulk>(&command)) {
-        table_.record(*recorded, changes);
-        for (const BulkOutcome &outcome : recorded->outcomes) {
-            if (outcome.phase == BulkItemPhase::Completed) {
-                const BulkItem &item = table_.jobs().at(recorded->id).items[outcome.index];
-                world_.decisions.itemDone(numberOf(item.id));
-            }
-        }
+    state_.apply(command);
+    const auto *recorded = std::get_if<RecordBulk>(&command);
+    if (recorded == nullptr) {
+        return;
     }
-    if (!capture([&] { return memory_.stateStore().write(changes); }).ok()) {
-        throw std::logic_error("a store in memory refused a write");
+    for (const BulkOutcome &outcome : recorded->outcomes) {
+        if (outcome.phase == BulkItemPhase::Completed) {
+            const BulkItem &item = state_.table().jobs().at(recorded->id).items[outcome.index];
+            world_.decisions.itemDone(numberOf(item.id));
+        }
     }
 }
 
@@ -260,18 +236,18 @@
     request.service = engine;
     request.priority = attempt.priority;
     request.startWithinMs
-        = static_cast<std::uint64_t>((attempt.objective - firstEventAllowance).count());
+        = static_cast<std::uint64_t>((attempt.objective - firstEventAllowance()).count());
     request.giveUpAfterMs
-        = static_cast<std::uint64_t>((attempt.callerWaits - firstEventAllowance).count());
+        = static_cast<std::uint64_t>((attempt.callerWaits - firstEventAllowance()).count());
     request.cameBack = attempt.cameBack;
-    request.tokens = attempt.prompt.size() / 4 + attempt.events * tokensPerEvent;
+    request.tokens = attempt.prompt.size() / engineBytesPerToken + attempt.events * tokensPerEvent;
     world_.time.after(world_.hop, [this, request, entry = entryName(attempt.entry)] {
         const Stopwatch watch(cost.deciding);
         broker_.request(entry, request);
     });
 }
 
-void BrokerScheduler::ended(std::uint64_t attempt, bool whole)
+void BrokerScheduler::ended(std::uint64_t attempt, std::size_t /*server*/, bool whole)
 {
     ++cost.messages;
     const Sent sent = sent_.at(attempt);
@@ -292,7 +268,7 @@
 {
     AcceptBulk command;
     command.id = JobId{std::to_string(nextJob_++)};
-    command.route = "batch";
+    command.route = "r";
     command.host = "a.example";
     command.maxAttempts = 3;
     command.dueAfter = dueIn;
@@ -302,12 +278,12 @@
     for (const auto &[number, spec] : items) {
         const std::string id = std::to_string(number);
         specs_[id] = spec;
-        command.items.push_back(
-            BulkItemSpec{.id = id,
-                         .path = "/x",
-                         .headers = {},
-                         .body = id,
-                         .tokens = spec.prompt.size() / 4 + spec.events * tokensPerEvent});
+        command.items.push_back(BulkItemSpec{.id = id,
+                                             .path = "/x",
+                                             .headers = {},
+                                             .body = id,
+                                             .tokens = spec.prompt.size() / engineBytesPerToken
+                                                 + spec.events * tokensPerEvent});
     }
     world_.time.after(commitTime, [this, command] {
         apply(command);
@@ -315,6 +291,11 @@
     });
 }
 
+void BrokerScheduler::serverChanged(std::size_t /*server*/, bool /*up*/)
+{
+    announceServers();
+}
+
 void BrokerScheduler::announceServers()
 {
     std::vector<FleetServer> servers;
@@ -349,30 +330,7 @@
 
 Scheduler makeBrokerScheduler(SchedulerWorld world)
 {
-    const auto made = std::make_shared<BrokerScheduler>(std::move(world));
-    made->begin();
-    Scheduler scheduler;
-    scheduler.arrive = [made](const Attempt &attempt) {
-        made->arrive(attempt);
-    };
-    scheduler.ended = [made](std::uint64_t attempt, std::size_t, bool whole) {
-        made->ended(attempt, whole);
-    };
-    scheduler.acceptJob = [made](const std::vector<std::pair<std::uint64_t, BatchItem>> &items,
-                                 Milliseconds dueIn) {
-        made->acceptJob(items, dueIn);
-    };
-    scheduler.serverChanged = [made](std::size_t, bool) {
-        made->announceServers();
-    };
-    scheduler.batchRunning = [made] {
-        return made->batchRunning();
-    };
-    scheduler.cost = [made] {
-        return made->cost;
-    };
-    scheduler.state = made;
-    return scheduler;
+    return schedulerOf(std::make_shared<BrokerScheduler>(std::move(world)));
 }
 
 } // namespace persimmonlb::trial
--- a/persimmonlb/testing/trial/scheduler.h
+++ b/persimmonlb/testing/trial/scheduler.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "persimmonlb/base/clock.h"
+#include "persimmonlb/relay/relayservice.h"
 #include "persimmonlb/testing/trial/fleetmodel.h"
 #include "persimmonlb/testing/virtualtime.h"
 
@@ -87,14 +88,49 @@
     std::function<void(std::size_t server, bool up)> serverChanged;
     std::function<std::uint32_t()> batchRunning;
     std::function<SchedulerCost()> cost;
-    std::shared_ptr<void> state; ///< Keeps the scheduler alive.
 };
 
+/// Makes a Scheduler of an object with a member function for each hook, and begins it.
+template <typename Object>
+Scheduler schedulerOf(std::shared_ptr<Object> object)
+{
+    object->begin();
+    Scheduler scheduler;
+    scheduler.arrive = [object](const Attempt &attempt) {
+        object->arrive(attempt);
+    };
+    scheduler.ended = [object](std::uint64_t attempt, std::size_t server, bool whole) {
+        object->ended(attempt, server, whole);
+    };
+    scheduler.acceptJob = [object](const std::vector<std::pair<std::uint64_t, BatchItem>> &items,
+                                   Milliseconds dueIn) {
+        object->acceptJob(items, dueIn);
+    };
+    scheduler.serverChanged = [object](std::size_t server, bool up) {
+        object->serverChanged(server, up);
+    };
+    scheduler.batchRunning = [object] {
+        return object->batchRunning();
+    };
+    scheduler.cost = [object] {
+        return object->cost;
+    };
+    return scheduler;
+}
+
+/// From the sending to the first event, as the relay allows for it.
+inline Milliseconds firstEventAllowance()
+{
+    return RelayOptions{}.firstEventAllowance;
+}
+
+inline constexpr std::size_t entryHosts = 12; ///< Of each site.
+
 struct SchedulerWorld {
     VirtualTime &time;
     FleetModel &fleet;
     RandomSource random;
-    std::size_t entries = 12;
+    std::size_t entries = entryHosts;
     Microseconds hop{1500}; ///< One way between two hosts.
     Decisions decisions;
 };
--- a/persimmonlb/testing/trial/trial.cpp
+++ b/persimmonlb/testing/trial/trial.cpp
@@ -18,7 +18,6 @@
 constexpr std::uint32_t engineSlots = 8;
 constexpr Microseconds eventTime{12800}; ///< Alone; 24 ms on a full engine.
 constexpr Microseconds prefillPerToken{8};
-constexpr std::size_t bytesPerToken = 4;
 constexpr std::size_t firstParts = 8; ///< Shared prompt parts of 100 tokens, in two levels.
 constexpr std::size_t secondParts = 459;
 constexpr std::size_t partTokens = 100;
@@ -54,11 +53,11 @@
 {
     const auto random = seededRandom(seed);
     std::string text;
-    while (text.size() < tokens * bytesPerToken) {
+    while (text.size() < tokens * engineBytesPerToken) {
         const std::uint64_t word = random();
         text.append(reinterpret_cast<const char *>(&word), sizeof(word));
     }
-    text.resize(tokens * bytesPerToken);
+    text.resize(tokens * engineBytesPerToken);
     return text;
 }
 
@@ -152,7 +151,7 @@
             continue;
         }
         Request request;
-        request.attempt.entry = random_() % 12;
+        request.attempt.entry = random_() % entryHosts;
         request.attempt.objective = objective;
         request.attempt.events = spread(load_.onlineEvents);
         request.attempt.prompt = tokensOf(1 + random_() % firstParts, partTokens)
--- a/persimmonlb/testing/trial/viewscheduler.cpp
+++ b/persimmonlb/testing/trial/viewscheduler.cpp
@@ -13,7 +13,6 @@
 {
 
 constexpr Milliseconds usualHold{900}; ///< Of a slot, by an online request.
-constexpr Milliseconds firstEventAllowance{80}; ///< As in RelayOptions.
 constexpr Milliseconds ownerInterval{20};
 
 struct Item {
@@ -41,7 +40,7 @@
         own();
     }
     void arrive(const Attempt &attempt);
-    void ended(std::uint64_t attempt, std::size_t server);
+    void ended(std::uint64_t attempt, std::size_t server, bool whole);
     void acceptJob(const std::vector<std::pair<std::uint64_t, BatchItem>> &items,
                    Milliseconds dueIn);
     void serverChanged(std::size_t server, bool up);
@@ -144,7 +143,7 @@
                           [self = shared_from_this(), server = *server] { self->yieldOn(server); });
     } else if (load >= slots && options_.refuses) {
         const Milliseconds wait = usualHold * (load - slots + 1) / slots;
-        if (wait > attempt.objective - firstEventAllowance) {
+        if (wait > attempt.objective - firstEventAllowance()) {
             const auto spread = static_cast<std::int64_t>(world_.random() % 100);
             world_.decisions.refuse(attempt.number, wait + Milliseconds(spread));
             return;
@@ -155,7 +154,7 @@
     world_.decisions.send(attempt.number, *server);
 }
 
-void ViewScheduler::ended(std::uint64_t attempt, std::size_t server)
+void ViewScheduler::ended(std::uint64_t attempt, std::size_t server, bool /*whole*/)
 {
     const auto entry = entryOf_.find(attempt);
     if (entry == entryOf_.end()) {
@@ -280,30 +279,7 @@
 
 Scheduler makeViewScheduler(SchedulerWorld world, ViewOptions options)
 {
-    const auto made = std::make_shared<ViewScheduler>(std::move(world), options);
-    made->begin();
-    Scheduler scheduler;
-    scheduler.arrive = [made](const Attempt &attempt) {
-        made->arrive(attempt);
-    };
-    scheduler.ended = [made](std::uint64_t attempt, std::size_t server, bool) {
-        made->ended(attempt, server);
-    };
-    scheduler.acceptJob = [made](const std::vector<std::pair<std::uint64_t, BatchItem>> &items,
-                                 Milliseconds dueIn) {
-        made->acceptJob(items, dueIn);
-    };
-    scheduler.serverChanged = [made](std::size_t server, bool up) {
-        made->serverChanged(server, up);
-    };
-    scheduler.batchRunning = [made] {
-        return made->batchRunning();
-    };
-    scheduler.cost = [made] {
-        return made->cost;
-    };
-    scheduler.state = made;
-    return scheduler;
+    return schedulerOf(std::make_shared<ViewScheduler>(std::move(world), options));
 }
 
 } // namespace persimmonlb::trial
