Reading pass: routes, leaving hosts and saved servers are a table of their own; one reading of a settings file

ReplicatedState kept these three itself, beside its other tables (FleetTable now). The parse of a settings file with its errors stood in daemon and fleet settings (readSettingsText). No behaviour changes.

--- a/persimmonlb/daemon/settings.cpp
+++ b/persimmonlb/daemon/settings.cpp
@@ -6,9 +6,8 @@
 #include <map>
 #include <optional>
 #include <set>
-#include <stdexcept>
 
-#include "persimmonlb/base/toml.h"
+#include "persimmonlb/daemon/settingstext.h"
 
 namespace persimmonlb
 {
@@ -380,18 +379,7 @@
 
 Result<Settings> parseSettings(std::string_view text)
 {
-    try {
-        const toml::parse_result parsed = toml::parse(text);
-        if (!parsed) {
-            const toml::parse_error &error = parsed.error();
-            return fail(ResultCode::SettingsInvalid,
-                        "line " + std::to_string(error.source().begin.line) + ": "
-                            + std::string(error.description()));
-        }
-        return readSettings(parsed.table());
-    } catch (const std::logic_error &error) {
-        return fail(ResultCode::SettingsInvalid, error.what());
-    }
+    return readSettingsText<Settings>(text, readSettings);
 }
 
 } // namespace persimmonlb
--- a/persimmonlb/fleetnode/fleetsettings.cpp
+++ b/persimmonlb/fleetnode/fleetsettings.cpp
@@ -3,10 +3,9 @@
 #include <algorithm>
 #include <array>
 #include <optional>
-#include <stdexcept>
 
-#include "persimmonlb/base/toml.h"
 #include "persimmonlb/daemon/settings.h"
+#include "persimmonlb/daemon/settingstext.h"
 
 namespace persimmonlb
 {
@@ -127,8 +126,9 @@
     return endpoint.substr(0, endpoint.rfind(':'));
 }
 
-FleetSettings readSettings(Reader &reader)
+Result<FleetSettings> readSettings(const toml::table &table)
 {
+    Reader reader(table);
     constexpr std::array<std::string_view, 4> levels = {"debug", "info", "warning", "error"};
     FleetSettings settings;
     settings.host.value = reader.text("host.ip");
@@ -164,6 +164,9 @@
     if (!settings.takesCallers && !settings.stores) {
         reader.complain("host", "neither takes callers nor stores");
     }
+    if (!reader.complaint().empty()) {
+        return fail(ResultCode::SettingsInvalid, reader.complaint());
+    }
     return settings;
 }
 
@@ -171,23 +174,7 @@
 
 Result<FleetSettings> parseFleetSettings(std::string_view text)
 {
-    try {
-        const toml::parse_result parsed = toml::parse(text);
-        if (!parsed) {
-            const toml::parse_error &error = parsed.error();
-            return fail(ResultCode::SettingsInvalid,
-                        "line " + std::to_string(error.source().begin.line) + ": "
-                            + std::string(error.description()));
-        }
-        Reader reader(parsed.table());
-        FleetSettings settings = readSettings(reader);
-        if (!reader.complaint().empty()) {
-            return fail(ResultCode::SettingsInvalid, reader.complaint());
-        }
-        return settings;
-    } catch (const std::logic_error &error) {
-        return fail(ResultCode::SettingsInvalid, error.what());
-    }
+    return readSettingsText<FleetSettings>(text, readSettings);
 }
 
 std::vector<HostId> seedHosts(const FleetSettings &settings)
--- a/persimmonlb/state/replicatedstate.cpp
+++ b/persimmonlb/state/replicatedstate.cpp
@@ -52,6 +52,7 @@
     , audit_(store)
     , fencing_(store)
     , bulk_(store)
+    , fleet_(store)
 {
 }
 
@@ -93,12 +94,7 @@
     BOOST_LEAF_CHECK(audit_.reload());
     BOOST_LEAF_CHECK(fencing_.reload());
     BOOST_LEAF_CHECK(bulk_.reload());
-    BOOST_LEAF_CHECK(reloadRoutes());
-    retired_.clear();
-    store_.scan(keys::retiredPrefix, [this](std::string_view key, std::string_view) {
-        retired_.emplace(key.substr(keys::retiredPrefix.size()));
-        return true;
-    });
+    BOOST_LEAF_CHECK(fleet_.reload());
     const auto version = store_.get(keys::counter(entryStateCounter));
     entryStateVersion_ = version ? keys::parseNumber(*version).value_or(0) : 0;
     return {};
@@ -308,11 +304,9 @@
 
 Reply ReplicatedState::applyOne(const PutRoutes &command, MutationList &changes)
 {
-    if (command.version <= routes_.version) {
+    if (!fleet_.put(command, changes)) {
         return PlainReply{.code = ResultCode::Ok, .message = "a newer version is in force"};
     }
-    routes_ = RoutesAnswer{.version = command.version, .text = command.text};
-    changes.push_back({std::string(keys::routes), encodeAnswer(routes_)});
     audit_.append(auditRecord(command.at, "routes", "operator", std::to_string(command.version),
                               ResultCode::Ok, sha256Hex(command.text)),
                   changes);
@@ -336,8 +330,7 @@
 
 Reply ReplicatedState::applyOne(const RetireStore &command, MutationList &changes)
 {
-    if (retired_.insert(command.name).second) {
-        changes.push_back({keys::retired(command.name), ""});
+    if (fleet_.retire(command, changes)) {
         audit_.append(
             auditRecord(command.at, "member", "operator", command.name, ResultCode::Ok, "retire"),
             changes);
@@ -353,25 +346,10 @@
 
 Reply ReplicatedState::applyOne(const SaveFleet &command, MutationList &changes)
 {
-    changes.push_back({std::string(keys::fleet), command.view});
+    FleetTable::save(command, changes);
     return PlainReply{};
 }
 
-Result<void> ReplicatedState::reloadRoutes()
-{
-    routes_ = {};
-    const auto stored = store_.get(keys::routes);
-    if (!stored) {
-        return {};
-    }
-    const auto decoded = decodeAnswer(*stored);
-    if (!decoded.ok() || !std::holds_alternative<RoutesAnswer>(decoded.value())) {
-        return fail(ResultCode::CorruptStore, "key " + std::string(keys::routes));
-    }
-    routes_ = std::get<RoutesAnswer>(decoded.value());
-    return {};
-}
-
 EntryStateAnswer ReplicatedState::entryState() const
 {
     return EntryStateAnswer{.version = entryStateVersion_,
@@ -416,7 +394,7 @@
         }
         Answer operator()(const RoutesQuery &) const
         {
-            return state.routes_;
+            return state.fleet_.routes();
         }
         Answer operator()(const BulkPageQuery &asked) const
         {
@@ -428,7 +406,8 @@
         }
         Answer operator()(const RetiredStoresQuery &) const
         {
-            return RetiredStores{{state.retired_.begin(), state.retired_.end()}};
+            const std::set<std::string> &retired = state.fleet_.retired();
+            return RetiredStores{{retired.begin(), retired.end()}};
         }
     };
     return std::visit(Visitor{*this}, query);
@@ -498,7 +477,7 @@
 
 const RoutesAnswer &ReplicatedState::routes() const
 {
-    return routes_;
+    return fleet_.routes();
 }
 
 const BulkTable &ReplicatedState::bulk() const
@@ -508,12 +487,12 @@
 
 const std::set<std::string> &ReplicatedState::retiredStores() const
 {
-    return retired_;
+    return fleet_.retired();
 }
 
 std::string ReplicatedState::savedFleet() const
 {
-    return store_.get(keys::fleet).value_or(std::string());
+    return fleet_.saved();
 }
 
 std::size_t ReplicatedState::jobMemoryBytes() const
--- a/persimmonlb/state/replicatedstate.h
+++ b/persimmonlb/state/replicatedstate.h
@@ -13,6 +13,7 @@
 #include "persimmonlb/orders/fencingcounter.h"
 #include "persimmonlb/sheet/sheetregistry.h"
 #include "persimmonlb/state/command.h"
+#include "persimmonlb/state/fleettable.h"
 #include "persimmonlb/state/hosttable.h"
 #include "persimmonlb/state/quarantinetable.h"
 #include "persimmonlb/state/query.h"
@@ -111,7 +112,6 @@
     Reply applyOne(const SaveBulkProgress &command, MutationList &changes);
     Reply applyOne(const SaveFleet &command, MutationList &changes);
 
-    Result<void> reloadRoutes();
     void expire(WallTime at, MutationList &changes);
     void releaseOwner(const Owner &owner, WallTime at, MutationList &changes);
     void entryStateChanged(MutationList &changes);
@@ -128,8 +128,7 @@
     AuditTrail audit_;
     FencingCounter fencing_;
     BulkTable bulk_;
-    RoutesAnswer routes_;
-    std::set<std::string> retired_; ///< Names of storage hosts that were asked to leave.
+    FleetTable fleet_;
     std::uint64_t entryStateVersion_ = 0;
 };
 
