--- a/persimmonlb/agreement/agreement_test.cpp
+++ b/persimmonlb/agreement/agreement_test.cpp
@@ -2,89 +2,17 @@
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
-#include "persimmonlb/agreement/fakegroup.h"
+#include "persimmonlb/agreement/threemembers.h"
 
 namespace persimmonlb
 {
 
+using namespace testing;
+
 namespace
 {
 
-constexpr std::uint64_t seed = 20261204;
 constexpr std::uint64_t repetitions = 10; ///< With one seed each.
-const HostId a{"a"};
-const HostId b{"b"};
-const HostId c{"c"};
-const HostId d{"d"};
-
-AgreementOptions smallLimits()
-{
-    AgreementOptions options;
-    options.limits.compactAfterEntries = 50;
-    options.limits.retainedEntries = 20;
-    options.limits.maxBytesPerSnapshotChunk = 256;
-    options.limits.maxEntriesPerAppend = 16;
-    return options;
-}
-
-ResultCode codeOf(const Outcome<Done> &outcome)
-{
-    return outcome.ok() ? ResultCode::Ok : outcome.error().code;
-}
-
-struct ThreeMembers : FakeGroup {
-    explicit ThreeMembers(std::uint64_t number = seed)
-        : FakeGroup(number, smallLimits())
-    {
-        for (const HostId &host : {a, b, c}) {
-            add(host);
-        }
-        BOOST_TEST_REQUIRE(capture([&] { return agreement(a).initialise({a, b, c}); }).ok());
-        scheduler.runFor(Milliseconds(3000));
-        BOOST_TEST_REQUIRE(leader().has_value());
-    }
-
-    HostId leading()
-    {
-        BOOST_TEST_REQUIRE(leader().has_value());
-        return *leader();
-    }
-
-    HostId following()
-    {
-        return leading() == a ? b : a;
-    }
-
-    static HostId thirdOf(const HostId &first, const HostId &second)
-    {
-        for (const HostId &host : {a, b}) {
-            if (host != first && host != second) {
-                return host;
-            }
-        }
-        return c;
-    }
-
-    void settle()
-    {
-        scheduler.runFor(Milliseconds(3000));
-    }
-
-    Outcome<Done> replace(const HostId &lost, const HostId &fresh)
-    {
-        Outcome<Done> result = makeError(ResultCode::Internal, "never answered");
-        agreement(leading()).replaceMember(lost, fresh,
-                                           [&](const Outcome<Done> &outcome) { result = outcome; });
-        scheduler.runFor(Milliseconds(12000));
-        return result;
-    }
-
-    void checkAll(const std::vector<HostId> &hosts)
-    {
-        checkPromises(hosts);
-        BOOST_TEST(violations.text() == "");
-    }
-};
 
 } // namespace
 
@@ -219,64 +147,6 @@
     BOOST_TEST(!agreement(leads).isLeader());
 }
 
-BOOST_AUTO_TEST_CASE(aLostMemberIsReplacedAndTheNextLossIsSurvived)
-{
-    add(d);
-    startCallers();
-    scheduler.runFor(Milliseconds(3000));
-    const HostId lost = following();
-    loseDisk(lost);
-    BOOST_TEST((codeOf(replace(lost, d)) == ResultCode::Ok));
-    BOOST_TEST(!agreement(leading()).status().changeInProgress);
-    loseDisk(leading());
-    scheduler.runFor(Milliseconds(4000));
-    stopCallers();
-    settle();
-    const HostId leads = leading();
-    BOOST_TEST(agreement(leads).status().members.size() == 3U);
-    checkAll({leads, d});
-}
-
-BOOST_AUTO_TEST_CASE(aSecondMemberChangeIsRefusedWhileOneIsInProgress)
-{
-    add(d);
-    add(HostId{"e"});
-    const HostId lost = following();
-    crash(lost);
-    agreement(leading()).replaceMember(lost, d, [](const Outcome<Done> & /*outcome*/) {});
-    ResultCode second = ResultCode::Internal;
-    agreement(leading()).replaceMember(
-        lost, HostId{"e"}, [&](const Outcome<Done> &outcome) { second = codeOf(outcome); });
-    BOOST_TEST((second == ResultCode::MemberChangeInProgress));
-}
-
-BOOST_AUTO_TEST_CASE(aMemberIsNotReplacedUnderItsOwnName)
-{
-    const HostId lost = following();
-    loseDisk(lost);
-    restart(lost);
-    BOOST_TEST((codeOf(replace(lost, lost)) == ResultCode::MalformedRequest));
-}
-
-BOOST_AUTO_TEST_CASE(anotherLeaderCarriesAReplacementOn)
-{
-    add(d);
-    const HostId lost = following();
-    loseDisk(lost);
-    const HostId first = leading();
-    agreement(first).replaceMember(lost, d, [](const Outcome<Done> & /*outcome*/) {});
-    while (agreement(first).status().members.size() < 4) {
-        scheduler.runFor(Milliseconds(1));
-    }
-    crash(first);
-    scheduler.runFor(Milliseconds(100));
-    restart(first);
-    scheduler.runFor(Milliseconds(8000));
-    const GroupStatus status = agreement(leading()).status();
-    BOOST_TEST(!status.changeInProgress);
-    BOOST_TEST(status.members.size() == 3U);
-}
-
 BOOST_AUTO_TEST_CASE(aMemberThatWasCutOffDoesNotDeposeTheLeader)
 {
     const HostId leads = leading();
@@ -447,78 +317,6 @@
     BOOST_TEST(agreement(leads).status().commitIndex == earlier + 1);
 }
 
-BOOST_AUTO_TEST_CASE(aNewMemberThatHasNotCaughtUpIsNotPromoted)
-{
-    add(d);
-    startCallers();
-    scheduler.runFor(Milliseconds(2000));
-    const HostId lost = following();
-    loseDisk(lost);
-    const HostId leads = leading();
-    bool complete = false;
-    agreement(leads).replaceMember(lost, d,
-                                   [&](const Outcome<Done> &outcome) { complete = outcome.ok(); });
-    while (agreement(leads).status().members.size() < 4) {
-        scheduler.runFor(Milliseconds(1));
-    }
-    network.cutOneWay(d, leads);
-    settle();
-    BOOST_TEST(!complete);
-    for (const MemberStatus &member : agreement(leads).status().members) {
-        BOOST_TEST(member.voter == (member.host != d));
-    }
-    network.heal();
-    settle();
-    BOOST_TEST(complete);
-}
-
-BOOST_AUTO_TEST_CASE(membersAreAddedSoThatMoreLossesAreBorne)
-{
-    add(d);
-    add(HostId{"e"});
-    BOOST_TEST((codeOf(replace(HostId{}, d)) == ResultCode::Ok));
-    BOOST_TEST((codeOf(replace(HostId{}, HostId{"e"})) == ResultCode::Ok));
-    const GroupStatus status = agreement(leading()).status();
-    BOOST_TEST(status.members.size() == 5U);
-    for (const MemberStatus &member : status.members) {
-        BOOST_TEST(member.voter);
-    }
-    const HostId first = following();
-    crash(first);
-    crash(thirdOf(first, leading()));
-    startCallers();
-    scheduler.runFor(Milliseconds(3000));
-    stopCallers();
-    settle();
-    BOOST_TEST(leader().has_value());
-}
-
-BOOST_AUTO_TEST_CASE(aNewMemberThatIsLostBeforeItVotesIsGivenUp)
-{
-    add(d);
-    add(HostId{"e"});
-    const HostId lost = following();
-    loseDisk(lost);
-    const HostId leads = leading();
-    ResultCode first = ResultCode::Internal;
-    network.cutOneWay(d, leads);
-    agreement(leads).replaceMember(lost, d,
-                                   [&](const Outcome<Done> &outcome) { first = codeOf(outcome); });
-    network.heal();
-    while (agreement(leads).status().members.size() < 4) {
-        scheduler.runFor(Milliseconds(1));
-    }
-    loseDisk(d);
-    settle();
-    BOOST_TEST((agreement(leads).status().joining == d));
-    agreement(leads).giveUpFresh();
-    settle();
-    BOOST_TEST(!agreement(leads).status().changeInProgress);
-    BOOST_TEST((first == ResultCode::PeerUnreachable));
-    BOOST_TEST((codeOf(replace(lost, HostId{"e"})) == ResultCode::Ok));
-    BOOST_TEST(agreement(leads).status().members.size() == 3U);
-}
-
 BOOST_AUTO_TEST_CASE(aProposalWithoutQuorumEndsAsNotKnown)
 {
     const HostId leads = leading();
@@ -568,48 +366,4 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
-BOOST_AUTO_TEST_SUITE(FormationTest)
-
-BOOST_AUTO_TEST_CASE(aStartWaitsForEveryMemberAndIsResumed)
-{
-    FakeGroup group(seed, smallLimits());
-    for (const HostId &host : {a, b, c}) {
-        group.add(host);
-    }
-    BOOST_TEST_REQUIRE(capture([&] { return group.agreement(a).initialise({a, b, c}); }).ok());
-    while (group.agreement(b).status().members.empty()) {
-        group.scheduler.runFor(Milliseconds(1)); // Until the first entry has been handed out.
-    }
-    group.crash(c);
-    group.scheduler.runFor(Milliseconds(3000));
-    group.crash(a);
-    group.restart(a);
-    group.scheduler.runFor(Milliseconds(3000));
-    BOOST_TEST(!group.leader().has_value());
-    group.restart(c);
-    BOOST_TEST_REQUIRE(capture([&] { return group.agreement(a).initialise({a, b, c}); }).ok());
-    group.scheduler.runFor(Milliseconds(3000));
-    BOOST_TEST(group.leader().has_value());
-}
-
-BOOST_AUTO_TEST_CASE(ofTwoStartsWithAHostInCommonOneAtMostSucceeds)
-{
-    for (std::uint64_t number = 0; number < 20; ++number) {
-        FakeGroup group(seed + number, smallLimits());
-        for (const HostId &host : {a, b, c, d}) {
-            group.add(host);
-        }
-        static_cast<void>(capture([&] { return group.agreement(a).initialise({a, b, c}); }));
-        static_cast<void>(capture([&] { return group.agreement(d).initialise({b, c, d}); }));
-        group.scheduler.runFor(Milliseconds(5000));
-        int leaders = 0;
-        for (const HostId &host : group.hosts()) {
-            leaders += group.agreement(host).isLeader() ? 1 : 0;
-        }
-        BOOST_TEST(leaders <= 1);
-    }
-}
-
-BOOST_AUTO_TEST_SUITE_END()
-
 } // namespace persimmonlb
