--- a/persimmonlb/ctl/fleetcommands.cpp
+++ b/persimmonlb/ctl/fleetcommands.cpp
@@ -41,8 +41,13 @@
     return showFleet(session, [&session](const Json &fleet) {
         session.out() << "seen by " << textOf(fleet, "name") << " (" << textOf(fleet, "host")
                       << "), leader " << textOf(fleet, "leader") << ", term "
-                      << textOf(fleet, "term") << ", routes " << textOf(fleet, "routes_version")
-                      << '\n';
+                      << textOf(fleet, "term") << ", view " << textOf(fleet, "view_version")
+                      << ", routes " << textOf(fleet, "routes_version") << '\n';
+        if (!textOf(fleet, "parent").empty()) {
+            session.out() << "reports to " << textOf(fleet, "parent")
+                          << ", last word of the leader " << textOf(fleet, "leader_age_ms")
+                          << " ms ago\n";
+        }
         const auto group = fleet.find("group");
         if (group == fleet.end()) {
             session.out() << "this host stores nothing; ask a storage host for the group\n";
@@ -66,7 +71,9 @@
         const std::int64_t newest = newestRoutes(fleet);
         Table table({"HOST", "NAME", "ZONE", "CALLERS", "MEMBER", "DRAINS", "ROUTES", "AGE"});
         for (const Json &host : arrayOf(fleet, "hosts")) {
-            const bool behind = numberOf(host, "routes_version") < newest;
+            // A host that reports to another one says nothing of its routes here.
+            const bool behind
+                = host.contains("routes_version") && numberOf(host, "routes_version") < newest;
             table.addRow(
                 {textOf(host, "host"), textOf(host, "name"), textOf(host, "availability_zone"),
                  textOf(host, "callers"), textOf(host, "member"), textOf(host, "draining"),
--- a/persimmonlb/fleet/fleetregistry.h
+++ b/persimmonlb/fleet/fleetregistry.h
@@ -17,8 +17,11 @@
     /// A server that was not heard for so long is taken for lost. Announcements come each
     /// 1.2 s and may be seconds late.
     Milliseconds serverSilence{6000};
-    /// An entry host that sends no report for so long is no longer named to callers.
-    Milliseconds entrySilence{1500};
+    /// An entry host whose parent was lost, and that no other one names for so long, is no longer
+    /// named to callers.
+    Milliseconds orphanSilence{1500};
+    /// A storage host that was not heard for so long is no longer named to other hosts.
+    Milliseconds storeSilence{3000};
     /// How long the end of a life is remembered against late announcements of it.
     Milliseconds endedMemory{120000};
 };
@@ -29,6 +32,9 @@
     HostId member;
     bool unused = false; ///< Its store was never part of a group.
     MonotonicTime heardAt;
+    /// Named to other hosts: it was heard lately, or adopted with a view lately.
+    bool listed = true;
+    MonotonicTime listedAt;
 
     bool operator==(const ReportedStore &) const = default;
 };
@@ -46,8 +52,12 @@
     bool announce(const FleetServer &server);
     /// The server ends its registration.
     void serverGone(const ServerId &id);
+    /// Takes the report of a storage host.
     void report(const HostId &from, const HostReport &report);
-    /// The connection to a host was lost.
+    /// Takes which entry hosts report to a storage host.
+    void attach(const HostId &parent, const AttachedHosts &hosts);
+    /// The connection to a host was lost: the entry hosts that reported to it must be named by
+    /// another one in time.
     void hostLost(const HostId &host);
     /// Starts from what another leader knew; what it names must be heard again in time.
     void adopt(const FleetView &view);
@@ -68,13 +78,17 @@
     };
     struct Entry {
         FleetEntry info;
-        MonotonicTime heardAt;
+        std::set<HostId> parents; ///< Storage hosts that name it; more than one while it moves.
+        MonotonicTime orphanSince; ///< When the last parent was lost.
     };
     struct Ended {
         std::uint64_t bornMs = 0;
         MonotonicTime at;
     };
 
+    void dropSilentServers();
+    void unlistSilentStores();
+    void detach(const HostId &entry, const HostId &parent);
     void endLife(const FleetServer &server);
     /// False when another life has the address and is the later one.
     bool takeAddress(const FleetServer &server);
--- a/persimmonlb/fleetnode/fleetparts.cpp
+++ b/persimmonlb/fleetnode/fleetparts.cpp
@@ -21,6 +21,7 @@
 /// Operators and callers of bulk jobs go on to another host after a second.
 constexpr Milliseconds commandAttempt{300};
 constexpr Milliseconds commandDeadline{2500};
+constexpr Milliseconds peerCheckInterval{100};
 constexpr const char *statusTarget = "/v1/fleet"; ///< At the metrics address.
 
 HttpClientOptions clientOptions()
@@ -50,7 +51,10 @@
     , client(HttpClient::create(context, clientOptions()))
     , control(controlOptions(settings), clock, random,
               [this](const HostId &to, PeerBody body) { return send(to, std::move(body)); })
+    , parent(ParentChoiceOptions{}, settings.host, clock)
+    , leaderHeardAt(clock.monotonic())
 {
+    parent.setCandidates(parentCandidates());
 }
 
 void FleetNode::Parts::fail(const std::string &why)
@@ -102,7 +106,12 @@
                                        hostOfMember(to));
                 },
             .send = [this](const HostId &to, PeerBody body) { return send(to, std::move(body)); },
-            .sendToAll = [this](const PeerBody &body) { sendToAll(body); },
+            .sendToSome
+            = [this](const std::vector<HostId> &to, const PeerBody &body) { sendTo(to, body); },
+            .change = [this](const FleetChange &change) { takeChange(change); },
+            .routesInForce = [this](const RoutesPush &push) { takeRoutes(push); },
+            .suspects = [this](const CrashSuspects &told) { crashes.take(told); },
+            .leaderAge = [this] { return leaderAge(); },
             .post = [this](std::function<void()> fn) { boost::asio::post(context, std::move(fn)); },
             .after = [this](Milliseconds delay,
                             std::function<void()> fn) { timers.after(delay, std::move(fn)); },
@@ -152,6 +161,22 @@
     status.name = settings.name;
     status.routesVersion = routesVersion;
     status.view = view;
+    status.parent = parent.parent();
+    status.leaderAge = leaderAge();
+    for (const FleetEntry &entry : view.entries) {
+        ReportedHost known{entry.host, {}, std::nullopt};
+        known.report.name = entry.name;
+        known.report.address = entry.address;
+        known.report.availabilityZone = entry.availabilityZone;
+        known.report.draining = entry.draining;
+        status.hosts.push_back(std::move(known));
+    }
+    for (const FleetStore &store : view.stores) {
+        ReportedHost known{store.host, {}, std::nullopt};
+        known.report.name = store.name;
+        known.report.availabilityZone = store.availabilityZone;
+        status.hosts.push_back(std::move(known));
+    }
     if (storage) {
         storage->fillStatus(status);
     }
@@ -171,6 +196,14 @@
 void FleetNode::Parts::tick()
 {
     control.tick();
+    if (parent.tick()) {
+        keepPeers();
+        report();
+    }
+    if (clock.monotonic() >= nextPeerCheck) {
+        nextPeerCheck = clock.monotonic() + peerCheckInterval;
+        keepPeers();
+    }
     supervisor.guard(gatewayChild, [this] { gateway->tick(); });
     supervisor.guard(storageChild, [this] { storage->tick(); });
 }
@@ -178,7 +211,7 @@
 Result<void> FleetNode::Parts::startStorage()
 {
     BOOST_LEAF_CHECK(storage->start());
-    connectTo(storage->members());
+    keepPeers();
     return {};
 }
 
--- a/persimmonlb/fleetnode/fleetstatus.cpp
+++ b/persimmonlb/fleetnode/fleetstatus.cpp
@@ -1,5 +1,7 @@
 #include "persimmonlb/fleetnode/fleetstatus.h"
 
+#include <utility>
+
 #include <nlohmann/json.hpp>
 
 namespace persimmonlb
@@ -29,15 +31,21 @@
 {
     Json list = Json::array();
     for (const ReportedHost &known : hosts) {
-        list.push_back({{"host", known.host.value},
-                        {"name", known.report.name},
-                        {"availability_zone", known.report.availabilityZone.value},
-                        {"callers", known.report.address},
-                        {"member", known.report.member.value},
-                        {"draining", known.report.draining},
-                        {"routes_version", known.report.routesVersion},
-                        {"view_term", known.report.viewTerm},
-                        {"age_ms", known.age.count()}});
+        Json host{{"host", known.host.value},
+                  {"name", known.report.name},
+                  {"availability_zone", known.report.availabilityZone.value},
+                  {"callers", known.report.address},
+                  {"draining", known.report.draining}};
+        if (known.age) {
+            host["member"] = known.report.member.value;
+            host["routes_version"] = known.report.routesVersion;
+            host["view_term"] = known.report.viewTerm;
+            host["view_version"] = known.report.viewVersion;
+            host["followers"] = known.report.followers;
+            host["followers_behind"] = known.report.followersBehind;
+            host["age_ms"] = known.age->count();
+        }
+        list.push_back(std::move(host));
     }
     return list;
 }
@@ -79,6 +87,9 @@
               {"name", status.name},
               {"leader", status.view.leader.value},
               {"term", status.view.term},
+              {"view_version", status.view.version},
+              {"parent", status.parent.value},
+              {"leader_age_ms", status.leaderAge.count()},
               {"routes_version", status.routesVersion},
               {"servers", serversJson(status.view.servers)},
               {"hosts", hostsJson(status.hosts)},
--- a/persimmonlb/fleetnode/fleetstatus.h
+++ b/persimmonlb/fleetnode/fleetstatus.h
@@ -13,11 +13,11 @@
 namespace persimmonlb
 {
 
-/// A host as it last reported itself.
+/// A host of the fleet.
 struct ReportedHost {
     HostId host;
-    HostReport report;
-    Milliseconds age{0};
+    HostReport report; ///< As it last reported itself here, or what the view says of it.
+    std::optional<Milliseconds> age; ///< Of its last report; none: it reports to another host.
 
     bool operator==(const ReportedHost &) const = default;
 };
@@ -29,7 +29,9 @@
     std::uint64_t routesVersion = 0; ///< In force here; 0: none yet.
     FleetView view;
     std::optional<GroupStatus> group; ///< On storage hosts.
-    std::vector<ReportedHost> hosts; ///< On storage hosts.
+    HostId parent; ///< The storage host that this one reports to; empty where it leads.
+    Milliseconds leaderAge{0}; ///< Of the last word of the leader.
+    std::vector<ReportedHost> hosts; ///< The whole fleet.
     std::vector<std::pair<JobId, BulkJob>> jobs; ///< On storage hosts; the first of them.
 
     bool operator==(const FleetStatus &) const = default;
--- a/persimmonlb/fleetnode/gatewayrole.h
+++ b/persimmonlb/fleetnode/gatewayrole.h
@@ -50,6 +50,8 @@
     void routesChanged(std::shared_ptr<const RouteTable> routes);
     void receive(const HostId &from, const PeerBody &body);
     void hostLost(const HostId &host);
+    /// The host that leads answers, or can be sent to again.
+    void leaderReached(const HostId &leader);
     void tick();
     void beginDrain();
 
--- a/persimmonlb/fleetnode/internal/fleetparts.h
+++ b/persimmonlb/fleetnode/internal/fleetparts.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <map>
 #include <memory>
 #include <set>
 #include <string>
@@ -10,6 +11,7 @@
 #include "persimmonlb/daemon/supervisor.h"
 #include "persimmonlb/daemon/timers.h"
 #include "persimmonlb/fleetnode/fleetnode.h"
+#include "persimmonlb/fleettree/parentchoice.h"
 #include "persimmonlb/http/client.h"
 #include "persimmonlb/http/server.h"
 #include "persimmonlb/wire/mesh.h"
@@ -33,11 +35,25 @@
     Result<std::unique_ptr<HttpServer>> listen(const std::string &address, HttpHandler handler);
     bool sendMessage(PeerMessage message, const HostId &to);
     bool send(const HostId &to, PeerBody body);
-    void sendToAll(const PeerBody &body);
+    void sendTo(const std::vector<HostId> &hosts, const PeerBody &body);
+    void countSent(const PeerBody &body, std::size_t messages, std::size_t bytes);
     void receive(const HostId &from, PeerMessage message);
-    void takeView(const FleetView &view);
+    void takeView(const FleetView &pushed);
+    /// Takes a change of the view held, from the leader or made by this host itself.
+    void takeChange(const FleetChange &change);
     void takeRoutes(const RoutesPush &push);
-    void connectTo(const std::vector<HostId> &hosts);
+    void takeBeat(const HostId &from, const LeaderBeat &beat);
+    /// Tells the parts of a view that is newer than the one before.
+    void viewUpdated(const HostId &formerLeader, const FleetChange *change);
+    void peerConnected(const HostId &peer);
+    void peerDisconnected(const HostId &peer);
+    /// Storage hosts that this one may report to.
+    [[nodiscard]] std::vector<ParentCandidate> parentCandidates() const;
+    /// Hosts that this one must reach: not every other one.
+    [[nodiscard]] std::set<HostId> neededPeers() const;
+    void keepPeers();
+    void dial(const HostId &host);
+    [[nodiscard]] Milliseconds leaderAge() const;
     void report();
     [[nodiscard]] FleetStatus status() const;
     void answerOperators(const HttpRequest &request, HttpResponder &responder) const;
@@ -57,6 +73,14 @@
     CrashWatch crashes{clock};
     std::uint64_t routesVersion = 0;
     std::set<HostId> connected;
+    ParentChoice parent;
+    bool needsWholeView = false; ///< A change did not fit.
+    MonotonicTime leaderHeardAt; ///< Last word of the leader, as far as the parent knows.
+    MonotonicTime nextPeerCheck;
+    std::map<HostId, MonotonicTime> peers; ///< Dialled, and when each was needed last.
+    std::map<HostId, MonotonicTime> dialAt; ///< Needed, not dialled yet.
+    HostId reportedTo; ///< The parent that had the last report.
+    MonotonicTime behindSince; ///< Since when the parent has had a newer view.
     std::unique_ptr<GatewayRole> gateway;
     std::unique_ptr<StorageRole> storage;
     std::unique_ptr<Mesh> mesh;
--- /dev/null
+++ b/persimmonlb/fleettree/parentchoice.cpp
@@ -0,0 +1,127 @@
+#include "persimmonlb/fleettree/parentchoice.h"
+
+#include <algorithm>
+#include <functional>
+#include <string>
+#include <tuple>
+#include <utility>
+
+#include "persimmonlb/base/logline.h"
+
+namespace persimmonlb
+{
+
+ParentChoice::ParentChoice(ParentChoiceOptions options, HostId self, Clock clock)
+    : options_(options)
+    , self_(std::move(self))
+    , clock_(std::move(clock))
+{
+}
+
+bool ParentChoice::setCandidates(std::vector<ParentCandidate> candidates)
+{
+    std::erase_if(candidates, [this](const ParentCandidate &known) { return known.host == self_; });
+    const auto rank = [this](const ParentCandidate &candidate) {
+        const std::size_t weight
+            = std::hash<std::string>()(self_.value + '/' + candidate.host.value);
+        return std::tuple(candidate.tier, weight, candidate.host);
+    };
+    std::ranges::sort(candidates, {}, rank);
+    candidates_ = std::move(candidates);
+    const auto isParent = [this](const ParentCandidate &known) {
+        return known.host == parent_;
+    };
+    const auto found = std::ranges::find_if(candidates_, isParent);
+    // One of a better tier is not waited for: the tier says what a host is, such as the leader.
+    const bool worseTier = found != candidates_.end() && found->tier > candidates_.front().tier
+        && !rests(candidates_.front().host);
+    return (found == candidates_.end() || worseTier) && choose();
+}
+
+bool ParentChoice::rests(const HostId &host) const
+{
+    const auto found = restsUntil_.find(host);
+    return found != restsUntil_.end() && clock_.monotonic() < found->second;
+}
+
+bool ParentChoice::choose()
+{
+    const MonotonicTime now = clock_.monotonic();
+    std::erase_if(restsUntil_, [now](const auto &entry) { return entry.second <= now; });
+    HostId next;
+    for (const ParentCandidate &candidate : candidates_) {
+        if (rests(candidate.host)) {
+            continue;
+        }
+        next = candidate.host;
+        break;
+    }
+    if (next.empty() && !candidates_.empty()) {
+        // All were tried in vain: from the front again.
+        restsUntil_.clear();
+        next = candidates_.front().host;
+    }
+    if (next == parent_) {
+        return false;
+    }
+    parent_ = next;
+    chosenAt_ = now;
+    heardAt_ = now;
+    freshAt_ = now;
+    if (!parent_.empty()) {
+        LogLine(LogLevel::Info, "parent_chosen")
+            .add("parent", parent_.value)
+            .add("candidates", static_cast<std::int64_t>(candidates_.size()))
+            .add("resting", static_cast<std::int64_t>(restsUntil_.size()))
+            .write();
+    }
+    return true;
+}
+
+void ParentChoice::leave()
+{
+    restsUntil_[parent_] = clock_.monotonic() + options_.rest;
+}
+
+void ParentChoice::heard(const HostId &host, Milliseconds age)
+{
+    if (host != parent_) {
+        return;
+    }
+    heardAt_ = clock_.monotonic();
+    if (age <= options_.staleness) {
+        freshAt_ = heardAt_;
+    }
+}
+
+void ParentChoice::lost(const HostId &host)
+{
+    if (host == parent_) {
+        leave();
+        choose();
+    }
+}
+
+bool ParentChoice::tick()
+{
+    const MonotonicTime now = clock_.monotonic();
+    if (parent_.empty()) {
+        return choose();
+    }
+    if (now - heardAt_ > options_.silence || now - freshAt_ > options_.silence) {
+        leave();
+        return choose();
+    }
+    if (parent_ != candidates_.front().host && now - chosenAt_ > options_.returnAfter) {
+        chosenAt_ = now;
+        return choose();
+    }
+    return false;
+}
+
+const HostId &ParentChoice::parent() const
+{
+    return parent_;
+}
+
+} // namespace persimmonlb
--- /dev/null
+++ b/persimmonlb/fleettree/parentchoice.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <vector>
+
+#include "persimmonlb/base/clock.h"
+#include "persimmonlb/base/ids.h"
+
+namespace persimmonlb
+{
+
+struct ParentChoiceOptions {
+    /// A parent that answers no report for so long is left: four reports. Entry hosts must follow a
+    /// change within two seconds, the shortest bound of our users.
+    Milliseconds silence{1200};
+    /// A parent that heard of no leader for so long is left. Longer than an election, so that not
+    /// every host moves when a leader is lost.
+    Milliseconds staleness{1500};
+    /// A parent that was left is not chosen again for so long, while there are others.
+    Milliseconds rest{4000};
+    /// After this a host goes back to a parent that it ranks higher, so that the load of a storage
+    /// host that restarted spreads again.
+    Milliseconds returnAfter{10000};
+};
+
+/// A storage host that may become the parent.
+struct ParentCandidate {
+    HostId host;
+    /// Lower ones go first; those of one tier are ranked by a hash that differs from host to host.
+    std::uint32_t tier = 0;
+
+    bool operator==(const ParentCandidate &) const = default;
+};
+
+/// Chooses the host to which this one reports and from which it learns of changes, by rendezvous
+/// hashing over the candidates that answer. Not thread-safe.
+class ParentChoice
+{
+public:
+    ParentChoice(ParentChoiceOptions options, HostId self, Clock clock);
+
+    /// True when another parent was chosen.
+    bool setCandidates(std::vector<ParentCandidate> candidates);
+    /// The host answered a report; `age` is how old its own last word of the leader is.
+    void heard(const HostId &host, Milliseconds age);
+    /// The connection to a host was lost.
+    void lost(const HostId &host);
+    /// True when another parent was chosen. Call each 20 ms or so.
+    bool tick();
+
+    /// Empty while there is no candidate.
+    [[nodiscard]] const HostId &parent() const;
+
+private:
+    void leave();
+    /// True when another parent was chosen.
+    bool choose();
+    [[nodiscard]] bool rests(const HostId &host) const;
+
+    ParentChoiceOptions options_;
+    HostId self_;
+    Clock clock_;
+    std::vector<ParentCandidate> candidates_; ///< Best first.
+    std::map<HostId, MonotonicTime> restsUntil_;
+    HostId parent_;
+    MonotonicTime chosenAt_;
+    MonotonicTime heardAt_;
+    MonotonicTime freshAt_; ///< When the parent's word of the leader was last fresh.
+};
+
+} // namespace persimmonlb
--- /dev/null
+++ b/persimmonlb/fleettree/parentchoice_test.cpp
@@ -0,0 +1,157 @@
+#include <set>
+
+#include <boost/test/unit_test.hpp>
+
+#include "persimmonlb/fleettree/parentchoice.h"
+
+using namespace persimmonlb;
+
+namespace
+{
+
+constexpr Milliseconds reportInterval{300};
+
+struct Bench {
+    explicit Bench(std::string self = "10.0.0.1")
+        : choice(ParentChoiceOptions{}, HostId{std::move(self)}, clock())
+    {
+    }
+
+    Clock clock()
+    {
+        return Clock{.monotonic = [this] { return now; },
+                     .wall =
+                         [] {
+                             return WallTime();
+                         }};
+    }
+
+    /// Lets time pass; those that answer do so at each report.
+    void pass(Milliseconds time, const std::set<HostId> &answering, Milliseconds age = {})
+    {
+        const MonotonicTime end = now + time;
+        while (now < end) {
+            if (answering.contains(choice.parent())) {
+                choice.heard(choice.parent(), age);
+            }
+            now += reportInterval;
+            choice.tick();
+        }
+    }
+
+    MonotonicTime now{Milliseconds(1000)};
+    ParentChoice choice;
+};
+
+std::vector<ParentCandidate> stores(int count, std::uint32_t tier = 0)
+{
+    std::vector<ParentCandidate> result;
+    for (int number = 0; number < count; ++number) {
+        result.push_back({HostId{"s" + std::to_string(tier) + "-" + std::to_string(number)}, tier});
+    }
+    return result;
+}
+
+std::set<HostId> hostsOf(const std::vector<ParentCandidate> &candidates)
+{
+    std::set<HostId> hosts;
+    for (const ParentCandidate &candidate : candidates) {
+        hosts.insert(candidate.host);
+    }
+    return hosts;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(ParentChoiceTest)
+
+BOOST_AUTO_TEST_CASE(TwoHundredEntryHostsSpreadOverTheStorageHostsOfTheirZone)
+{
+    std::map<HostId, int> children;
+    for (int number = 0; number < 200; ++number) {
+        Bench bench("10.0.1." + std::to_string(number));
+        std::vector<ParentCandidate> candidates = stores(8);
+        const auto far = stores(40, 1);
+        candidates.insert(candidates.end(), far.begin(), far.end());
+        bench.choice.setCandidates(candidates);
+        ++children[bench.choice.parent()];
+    }
+    BOOST_TEST(children.size() == 8U);
+    for (const auto &[host, count] : children) {
+        BOOST_TEST(host.value.starts_with("s0-"));
+        BOOST_TEST(count < 50);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(ASilentParentIsLeftWithinTwoSecondsAndComesBackLater)
+{
+    Bench bench;
+    const auto candidates = stores(3);
+    bench.choice.setCandidates(candidates);
+    const HostId first = bench.choice.parent();
+    std::set<HostId> answering = hostsOf(candidates);
+    bench.pass(Milliseconds(3000), answering);
+    BOOST_TEST(bench.choice.parent().value == first.value);
+    answering.erase(first);
+    bench.pass(Milliseconds(1500), answering);
+    BOOST_TEST(bench.choice.parent().value != first.value);
+    answering.insert(first);
+    bench.pass(Milliseconds(12000), answering);
+    BOOST_TEST(bench.choice.parent().value == first.value);
+}
+
+BOOST_AUTO_TEST_CASE(ADisconnectedParentIsLeftAtOnce)
+{
+    Bench bench;
+    bench.choice.setCandidates(stores(3));
+    const HostId first = bench.choice.parent();
+    bench.choice.lost(first);
+    BOOST_TEST(bench.choice.parent().value != first.value);
+    bench.choice.lost(first);
+    BOOST_TEST(bench.choice.parent().value != first.value);
+}
+
+BOOST_AUTO_TEST_CASE(AParentThatHearsOfNoLeaderIsLeftButNotForAnElection)
+{
+    Bench bench;
+    const auto candidates = stores(3);
+    bench.choice.setCandidates(candidates);
+    const HostId first = bench.choice.parent();
+    bench.pass(Milliseconds(3000), hostsOf(candidates), Milliseconds(1200));
+    BOOST_TEST(bench.choice.parent().value == first.value);
+    bench.pass(Milliseconds(1500), hostsOf(candidates), Milliseconds(1600));
+    BOOST_TEST(bench.choice.parent().value != first.value);
+}
+
+BOOST_AUTO_TEST_CASE(OneOfALowerTierIsTakenAsSoonAsItIsKnown)
+{
+    Bench bench;
+    bench.choice.setCandidates(stores(4, 1));
+    std::vector<ParentCandidate> candidates = stores(4, 1);
+    candidates.front().tier = 0;
+    BOOST_TEST(bench.choice.setCandidates(candidates));
+    BOOST_TEST(bench.choice.parent().value == candidates.front().host.value);
+}
+
+BOOST_AUTO_TEST_CASE(WhenNobodyAnswersEveryCandidateIsTriedInTurn)
+{
+    Bench bench;
+    const auto candidates = stores(3);
+    bench.choice.setCandidates(candidates);
+    std::set<HostId> tried;
+    for (int step = 0; step < 18; ++step) {
+        tried.insert(bench.choice.parent());
+        bench.pass(reportInterval, {});
+    }
+    BOOST_TEST(tried.size() == 3U);
+}
+
+BOOST_AUTO_TEST_CASE(AHostIsNotItsOwnParent)
+{
+    Bench bench("s0-0");
+    bench.choice.setCandidates(stores(1));
+    BOOST_TEST(bench.choice.parent().empty());
+    BOOST_TEST(!bench.choice.setCandidates({}));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/persimmonlb/slots/slotclient.cpp
+++ b/persimmonlb/slots/slotclient.cpp
@@ -250,6 +250,10 @@
         }
         askLocally(ticket);
     }
+    if (brokerMute_ && !broker_.empty() && now >= nextProbe_) {
+        nextProbe_ = now + options_.probeInterval;
+        tellHeld();
+    }
     local_.tick();
 }
 
--- a/persimmonlb/slots/slotclient.h
+++ b/persimmonlb/slots/slotclient.h
@@ -19,6 +19,8 @@
     HostId self;
     /// A broker that says nothing for so long is passed by: some ten round trips between zones.
     Milliseconds brokerSilence{80};
+    /// How often a broker that is passed by is asked whether it answers again.
+    Milliseconds probeInterval{300};
 };
 
 struct SlotClientHooks {
@@ -96,6 +98,7 @@
     HostId broker_;
     std::uint64_t brokerTerm_ = 0;
     bool brokerMute_ = true;
+    MonotonicTime nextProbe_;
     std::size_t entryCount_ = 1;
     std::uint64_t nextTicket_ = 1;
     std::map<std::uint64_t, Pending> pending_;
--- a/persimmonlb/wire/internal/messagefields.h
+++ b/persimmonlb/wire/internal/messagefields.h
@@ -245,6 +245,7 @@
 void describeFields(Archive &archive, Fields<Archive, FleetEntry> &message)
 {
     archive.field("h", message.host);
+    archive.field("n", message.name);
     archive.field("a", message.address);
     archive.field("z", message.availabilityZone);
     archive.field("r", message.region);
@@ -258,6 +259,8 @@
     archive.field("n", message.name);
     archive.field("m", message.meshAddress);
     archive.field("c", message.controlAddress);
+    archive.field("z", message.availabilityZone);
+    archive.field("v", message.votes);
 }
 
 template <typename Archive>
@@ -272,6 +275,31 @@
     archive.list("st", message.stores);
 }
 
+template <typename Archive>
+void describeFields(Archive &archive, Fields<Archive, FleetChange> &message)
+{
+    archive.field("bt", message.baseTerm);
+    archive.field("bv", message.baseVersion);
+    archive.field("t", message.term);
+    archive.field("v", message.version);
+    archive.field("l", message.leader);
+    archive.field("rv", message.routesVersion);
+    archive.list("s", message.servers);
+    archive.list("sg", message.goneServers);
+    archive.list("e", message.entries);
+    archive.list("eg", message.goneEntries);
+    archive.list("st", message.stores);
+    archive.list("stg", message.goneStores);
+}
+
+template <typename Archive>
+void describeFields(Archive &archive, Fields<Archive, AttachedHosts> &message)
+{
+    archive.field("w", message.whole);
+    archive.list("e", message.entries);
+    archive.list("g", message.gone);
+}
+
 template <typename Archive>
 void describeFields(Archive &archive, Fields<Archive, HostReport> &message)
 {
@@ -287,12 +315,17 @@
     archive.field("rv", message.routesVersion);
     archive.field("t", message.viewTerm);
     archive.field("v", message.viewVersion);
+    archive.field("l", message.leaving);
+    archive.field("f", message.followers);
+    archive.field("fb", message.followersBehind);
 }
 
 template <typename Archive>
 void describeFields(Archive &archive, Fields<Archive, LeaderBeat> &message)
 {
     archive.field("t", message.term);
+    archive.field("v", message.version);
+    archive.field("a", message.ageMs);
 }
 
 template <typename Archive>
--- a/persimmonlb/wire/mesh.cpp
+++ b/persimmonlb/wire/mesh.cpp
@@ -85,6 +85,11 @@
         return true;
     }
 
+    void removePeer(const HostId &host) override
+    {
+        core_.post([this, host] { core_.removePeer(host); });
+    }
+
     [[nodiscard]] std::vector<HostId> connectedPeers() const override
     {
         std::vector<HostId> peers;
--- a/persimmonlb/wire/mesh.h
+++ b/persimmonlb/wire/mesh.h
@@ -16,6 +16,8 @@
 struct MeshPeer {
     HostId host;
     std::string address; ///< "ip:port" of its mesh listener.
+    /// The peer dials this host as well, so that the one with the higher id waits for the other.
+    bool dialsBack = true;
 
     bool operator==(const MeshPeer &) const = default;
 };
@@ -65,6 +67,9 @@
     /// Connects to one more peer from now on, or to a known one at another address. False when its
     /// host id is not a valid one.
     virtual bool addPeer(MeshPeer peer) = 0;
+    /// Dials the peer no more and closes the connection that this host dialled. One that the peer
+    /// dialled stays.
+    virtual void removePeer(const HostId &host) = 0;
     /// Hosts that send() reaches now, as the hooks told. Decision thread only.
     [[nodiscard]] virtual std::vector<HostId> connectedPeers() const = 0;
 };
--- a/persimmonlb/wire/message.cpp
+++ b/persimmonlb/wire/message.cpp
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <optional>
+#include <string_view>
 #include <utility>
 
 #include "persimmonlb/wire/internal/cborvalue.h"
@@ -81,6 +82,18 @@
 
 } // namespace
 
+std::string_view peerBodyName(const PeerBody &body)
+{
+    static constexpr std::array<std::string_view, std::variant_size_v<PeerBody>> names{
+        "vote_request",   "vote_reply",      "append_request", "append_reply",   "snapshot_chunk",
+        "snapshot_reply", "propose_request", "query_request",  "control_reply",  "lease_request",
+        "lease_grant",    "server_digest",   "yield_request",  "fleet_view",     "host_report",
+        "routes_push",    "server_notice",   "notice_reply",   "member_removed", "slot_request",
+        "slot_grant",     "slot_refusal",    "slot_end",       "slots_held",     "leader_beat",
+        "run_verdict",    "crash_suspects",  "fleet_change",   "attached_hosts"};
+    return names.at(body.index());
+}
+
 std::string encodeMessage(const PeerMessage &message)
 {
     nlohmann::json root = nlohmann::json::object();
--- a/persimmonlb/wire/message.h
+++ b/persimmonlb/wire/message.h
@@ -212,7 +212,7 @@
                    ProposeRequest, QueryRequest, ControlReply, LeaseRequest, LeaseGrant,
                    ServerDigest, YieldRequest, FleetView, HostReport, RoutesPush, ServerNotice,
                    ServerNoticeReply, MemberRemoved, SlotRequest, SlotGrant, SlotRefusal, SlotEnd,
-                   SlotsHeld, LeaderBeat, RunVerdict, CrashSuspects>;
+                   SlotsHeld, LeaderBeat, RunVerdict, CrashSuspects, FleetChange, AttachedHosts>;
 
 struct PeerMessage {
     GroupId group = defaultGroup;
@@ -225,6 +225,9 @@
     bool operator==(const PeerMessage &) const = default;
 };
 
+/// Name of the body's type, for metrics.
+std::string_view peerBodyName(const PeerBody &body);
+
 std::string encodeMessage(const PeerMessage &message);
 /// Errors: MalformedRequest; never throws, whatever the bytes.
 Outcome<PeerMessage> decodeMessage(std::string_view bytes);
