--- a/persimmonlb/bulk/bulkrunner.cpp
+++ b/persimmonlb/bulk/bulkrunner.cpp
@@ -1,6 +1,7 @@
 #include "persimmonlb/bulk/bulkrunner.h"
 
 #include <algorithm>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -44,23 +45,15 @@
 
 // ---- choice -----------------------------------------------------------------------------------
 
-Milliseconds BulkRunner::remaining(const Key &key) const
+Milliseconds BulkRunner::remaining(std::uint64_t events) const
 {
-    const auto known = progress_.find(key);
-    const double done = known == progress_.end() ? 0 : static_cast<double>(known->second.count);
-    const double left = std::max(1.0, eventsPerItem_ - done);
+    const double left = std::max(1.0, eventsPerItem_ - static_cast<double>(events));
     return Milliseconds(static_cast<std::int64_t>(left * eventMs_));
 }
 
-Milliseconds BulkRunner::slackOf(const Key &key, WallTime dueAt) const
-{
-    return std::chrono::duration_cast<Milliseconds>(dueAt - clock_.wall()) - remaining(key);
-}
-
-bool BulkRunner::isOverlong(const Key &key) const
+bool BulkRunner::isOverlong(std::uint64_t events) const
 {
-    const auto known = progress_.find(key);
-    return known != progress_.end() && static_cast<double>(known->second.count) >= eventsPerItem_;
+    return static_cast<double>(events) >= eventsPerItem_;
 }
 
 bool BulkRunner::mayRun(const Key &key) const
@@ -74,41 +67,81 @@
             && !crashes_.isBlocked(known->second.fingerprint));
 }
 
-std::optional<BulkRunner::Candidate>
-BulkRunner::next(const BulkTable &table, const ServiceName &service, const RouteTable &routes) const
+void BulkRunner::touch(const Key &key, Touch touch)
 {
-    std::optional<Candidate> best;
-    for (const auto &[id, job] : table.jobs()) {
-        if (!job.isOpen()) {
+    std::vector<Touch> &touches = touches_[key.job];
+    if (touches.size() <= key.index) {
+        touches.resize(key.index + 1, Touch::None);
+    }
+    touches[key.index] = touch;
+}
+
+void BulkRunner::eraseRun(std::map<Key, Run>::iterator run)
+{
+    touch(run->first, Touch::Idle);
+    runs_.erase(run);
+}
+
+void BulkRunner::choose(const JobId &id, const BulkJob &job, WallTime now,
+                        std::optional<Candidate> &best) const
+{
+    const auto known = touches_.find(id);
+    const auto left = std::chrono::duration_cast<Milliseconds>(job.dueAt - now);
+    bool untouchedSeen = false;
+    for (std::uint32_t index = 0; index < job.items.size(); ++index) {
+        const Touch touch = known == touches_.end() || known->second.size() <= index
+            ? Touch::None
+            : known->second[index];
+        // Of those without events one is as good as the other.
+        const bool skip = touch == Touch::Runs || (touch == Touch::None && untouchedSeen);
+        if (skip || job.items[index].phase != BulkItemPhase::Waiting) {
             continue;
         }
-        const Route *route = nullptr;
-        for (const Route &known : routes.routes()) {
-            if (known.name == job.route && known.host == job.host) {
-                route = &known;
-            }
-        }
-        const bool mayServe = route != nullptr
-            && std::ranges::any_of(route->services, [&service](const WeightedService &choice) {
-                                  return choice.service == service && choice.weight > 0;
-                              });
-        if (!mayServe) {
+        const Key key{id, index};
+        if (!mayRun(key)) {
             continue;
         }
-        std::uint32_t index = 0;
-        for (const BulkItem &item : job.items) {
-            const Key key{id, index++};
-            if (item.phase != BulkItemPhase::Waiting || !mayRun(key)) {
+        untouchedSeen = untouchedSeen || touch == Touch::None;
+        const auto progress = progress_.find(key);
+        const Milliseconds rest
+            = remaining(progress == progress_.end() ? 0 : progress->second.count);
+        const Milliseconds slack = left - rest;
+        const bool hopeless = slack.count() < 0;
+        const auto cost = rest
+            + Milliseconds(static_cast<std::int64_t>(options_.slackShare
+                                                     * static_cast<double>(slack.count())));
+        if (!best || std::pair(hopeless, cost) < std::pair(best->hopeless, best->cost)) {
+            best = Candidate{key, slack, hopeless, cost};
+        }
+    }
+}
+
+std::optional<BulkRunner::Candidate>
+BulkRunner::next(const BulkTable &table, const ServiceName &service, const RouteTable &routes) const
+{
+    // Jobs come over few routes, and there may be thousands of routes.
+    std::map<std::pair<std::string_view, std::string_view>, bool> served;
+    const auto mayServe = [&](const BulkJob &job) {
+        const auto [known, isNew] = served.try_emplace({job.route, job.host}, false);
+        if (!isNew) {
+            return known->second;
+        }
+        for (const Route &route : routes.routes()) {
+            if (route.name != job.route || route.host != job.host) {
                 continue;
             }
-            const Milliseconds slack = slackOf(key, job.dueAt);
-            const bool hopeless = slack.count() < 0;
-            const auto cost = remaining(key)
-                + Milliseconds(static_cast<std::int64_t>(options_.slackShare
-                                                         * static_cast<double>(slack.count())));
-            if (!best || std::pair(hopeless, cost) < std::pair(best->hopeless, best->cost)) {
-                best = Candidate{key, slack, hopeless, cost};
-            }
+            known->second
+                = std::ranges::any_of(route.services, [&service](const WeightedService &choice) {
+                      return choice.service == service && choice.weight > 0;
+                  });
+        }
+        return known->second;
+    };
+    const WallTime now = clock_.wall();
+    std::optional<Candidate> best;
+    for (const auto &[id, job] : table.jobs()) {
+        if (job.isOpen() && mayServe(job)) {
+            choose(id, job, now, best);
         }
     }
     return best;
@@ -122,11 +155,15 @@
         return;
     }
     for (std::size_t started = 0; started < options_.maxStartsAtOnce; ++started) {
-        if (broker_.freeSlots(service) == 0) {
+        const bool urgentOnly = broker_.roomForBatch(service, false) == 0;
+        const MonotonicTime now = clock_.monotonic();
+        if (urgentOnly
+            && (now < nothingUrgentUntil_[service] || broker_.roomForBatch(service, true) == 0)) {
             return;
         }
         const auto candidate = next(*table, service, *routes);
         if (!candidate || !start(*table, *candidate, service)) {
+            nothingUrgentUntil_[service] = now + options_.searchPause;
             return;
         }
     }
@@ -151,6 +188,7 @@
             .write();
         broker_.batchEnded({*server, tokens}, SlotOutcome::Abandoned);
         progress_[key].notBefore = clock_.monotonic() + options_.failurePause;
+        touch(key, Touch::Idle);
         return false;
     }
     Progress &progress = progressOf(table, key);
@@ -172,7 +210,10 @@
     run.startedAt = clock_.monotonic();
     run.progressAt = run.startedAt;
     run.startedWith = progress.count;
+    run.progress = &progress;
     run.number = number;
+    touch(key, Touch::Runs);
+    nothingToYieldUntil_.erase(service);
     run.exchange = hooks_.send(broker_.addressOf(*server), std::move(request), Milliseconds(0),
                                exchangeHooks(key, number));
     metrics_.count("persimmonlb_bulk_runs_total", {});
@@ -343,7 +384,7 @@
     }
     const BatchRunSlot slot = found->second.slot;
     noteRun(key, slot.server);
-    runs_.erase(found);
+    eraseRun(found);
     broker_.batchEnded(slot, outcome);
 }
 
@@ -383,6 +424,9 @@
     if (item == nullptr) {
         return;
     }
+    if (!runs_.contains(key)) {
+        touch(key, Touch::Idle);
+    }
     unrecorded_[key] = BulkOutcome{.index = key.index,
                                    .phase = phase,
                                    .attempt = item->attempts + 1,
--- a/persimmonlb/bulk/bulkrunner.h
+++ b/persimmonlb/bulk/bulkrunner.h
@@ -47,6 +47,11 @@
     Milliseconds saveInterval{1000};
     std::uint64_t leastEventsToSave = 24;
     std::size_t maxStartsAtOnce = 16;
+    /// Before a search over all runs or items is repeated that found nothing: one tick.
+    Milliseconds searchPause{20};
+    /// How often what is kept of ended items is looked for; runs of a job that its caller ends are
+    /// ended at once.
+    Milliseconds dropInterval{100};
     /// What a server says of its runs may be so old.
     Milliseconds loadAge{1000};
 };
@@ -124,6 +129,7 @@
         MonotonicTime startedAt;
         MonotonicTime progressAt;
         std::uint64_t startedWith = 0; ///< Events before this run.
+        const Progress *progress = nullptr; ///< Of progress_, which keeps it while the run lasts.
         std::uint64_t number = 0; ///< Tells a run of an item from a later one.
     };
     struct Candidate {
@@ -133,13 +139,26 @@
         Milliseconds cost{0}; ///< The lowest goes first.
     };
 
-    [[nodiscard]] Milliseconds remaining(const Key &key) const;
-    [[nodiscard]] Milliseconds slackOf(const Key &key, WallTime dueAt) const;
+    /// What is known here of an item of an open job, so that a choice looks up few of them.
+    enum class Touch : std::uint8_t {
+        None, ///< Nothing is known here: no run, no events, no outcome.
+        Idle, ///< progress_ and unrecorded_ say more.
+        Runs,
+    };
+    using Touches = std::map<JobId, std::vector<Touch>>;
+
+    /// Time that an item needs which has so many events.
+    [[nodiscard]] Milliseconds remaining(std::uint64_t events) const;
     /// True for an item that already has more events than is usual: nobody knows how many it needs.
-    [[nodiscard]] bool isOverlong(const Key &key) const;
+    [[nodiscard]] bool isOverlong(std::uint64_t events) const;
     [[nodiscard]] std::optional<Candidate> next(const BulkTable &table, const ServiceName &service,
                                                 const RouteTable &routes) const;
+    /// Puts the job's best item into `best` when it is better.
+    void choose(const JobId &id, const BulkJob &job, WallTime now,
+                std::optional<Candidate> &best) const;
     [[nodiscard]] bool mayRun(const Key &key) const;
+    void touch(const Key &key, Touch touch);
+    void eraseRun(std::map<Key, Run>::iterator run);
     bool start(const BulkTable &table, const Candidate &candidate, const ServiceName &service);
     HttpExchangeHooks exchangeHooks(const Key &key, std::uint64_t number);
     Run *find(const Key &key, std::uint64_t number);
@@ -166,11 +185,18 @@
     Metrics &metrics_;
     BulkRunnerHooks hooks_;
     std::map<Key, Run> runs_;
+    Touches touches_; ///< Of open jobs.
+    /// Until then no run is looked for that could give way: none was found, and none has begun.
+    std::map<ServiceName, MonotonicTime> nothingToYieldUntil_;
+    /// Until then no urgent item is looked for: none was found.
+    std::map<ServiceName, MonotonicTime> nothingUrgentUntil_;
+    MonotonicTime nextDrop_;
     std::map<Key, Progress> progress_;
     std::map<Key, BulkOutcome> unrecorded_; ///< Ended here, not yet in the replicated state.
     std::map<Key, MonotonicTime> proposeAgain_;
     MonotonicTime nextSave_;
     std::uint64_t seenVersion_ = 0;
+    std::uint64_t seenEndings_ = 0;
     std::uint64_t nextRun_ = 1;
     double eventsPerItem_;
     double eventMs_;
--- a/persimmonlb/bulk/bulkrunner_test.cpp
+++ b/persimmonlb/bulk/bulkrunner_test.cpp
@@ -100,9 +100,15 @@
     std::shared_ptr<const RouteTable> routes = batchRoutes(engine);
     std::vector<std::shared_ptr<Sending>> sendings;
     Metrics metrics;
-    Clock clock{.monotonic = [this] { return now; },
+    std::uint64_t clockReads = 0;
+    Clock clock{.monotonic =
+                    [this] {
+                        ++clockReads;
+                        return now;
+                    },
                 .wall =
                     [this] {
+                        ++clockReads;
                         return wall;
                     }};
     SlotBroker broker{
@@ -339,6 +345,47 @@
     BOOST_TEST(bench.sendings.size() == 2U);
 }
 
+/// The load of a fleet on the crest of its wave: thousands of items wait, some hundred of them with
+/// events, and each answer that ends frees a slot. Choosing among them must not cost as much as
+/// there are items; reads of the clock stand for the work.
+BOOST_AUTO_TEST_CASE(AFreedSlotAmongThousandsOfItemsReadsTheClockAFewTimes)
+{
+    Bench bench;
+    for (int job = 0; job < 200; ++job) {
+        bench.accept("job-with-a-long-name-" + std::to_string(1000 + job), 10);
+    }
+    bench.pass(20);
+    BOOST_REQUIRE_EQUAL(bench.runner.running(), 2U);
+    const std::uint64_t before = bench.clockReads;
+    bench.answer(0, 200, eventsUpTo(3));
+    bench.end(0, ResultCode::Ok);
+    BOOST_TEST(bench.runner.running() == 2U);
+    BOOST_TEST(bench.clockReads - before < 60U);
+}
+
+BOOST_AUTO_TEST_CASE(AnItemThatGaveWayIsChosenAgainAmongFreshOnes)
+{
+    Bench bench;
+    bench.accept("a", 1, 9000);
+    bench.accept("b", 5, 18000);
+    bench.pass(20);
+    BOOST_REQUIRE_EQUAL(bench.sendings.size(), 2U);
+    bench.answer(0, 200, eventsUpTo(100));
+    bench.answer(1, 200, eventsUpTo(100));
+    SlotRequest request;
+    request.ticket = 1;
+    request.service = engine;
+    request.startWithinMs = 300;
+    request.giveUpAfterMs = 5000;
+    bench.broker.request(HostId{"e"}, request);
+    BOOST_TEST(bench.runner.running() == 1U);
+    bench.pass(20);
+    bench.broker.end(HostId{"e"}, SlotEnd{.ticket = 1, .heldMs = 500});
+    bench.pass(20);
+    BOOST_REQUIRE_EQUAL(bench.sendings.size(), 3U);
+    BOOST_TEST(bench.sendings[2]->behind.has_value());
+}
+
 BOOST_AUTO_TEST_CASE(WhatIsNotDoneInTimeIsGivenUp)
 {
     Bench bench;
--- a/persimmonlb/bulk/bulktable.cpp
+++ b/persimmonlb/bulk/bulktable.cpp
@@ -142,6 +142,7 @@
     }
     if (!found->second.ended) {
         found->second.ended = true;
+        ++endings_;
         write(command.id, found->second, changes);
     }
     return {};
@@ -266,9 +267,15 @@
     return version_;
 }
 
+std::uint64_t BulkTable::endings() const
+{
+    return endings_;
+}
+
 Result<void> BulkTable::reload()
 {
     jobs_.clear();
+    ++endings_;
     ++version_;
     std::string broken;
     store_.scan(keys::bulkJobPrefix, [&](std::string_view key, std::string_view value) {
--- a/persimmonlb/bulk/bulktable.h
+++ b/persimmonlb/bulk/bulktable.h
@@ -70,6 +70,8 @@
     [[nodiscard]] std::optional<BulkProgress> progress(const JobId &id, std::uint32_t index) const;
     /// Rises with every change.
     [[nodiscard]] std::uint64_t version() const;
+    /// Rises when a job is ended by its caller, and when all jobs were read anew.
+    [[nodiscard]] std::uint64_t endings() const;
 
     /// Reads the jobs anew from the state store. Errors: CorruptStore.
     Result<void> reload();
@@ -81,6 +83,7 @@
     StateStore store_;
     std::map<JobId, BulkJob> jobs_;
     std::uint64_t version_ = 0;
+    std::uint64_t endings_ = 0;
 };
 
 } // namespace persimmonlb
--- a/persimmonlb/bulk/bulkupkeep.cpp
+++ b/persimmonlb/bulk/bulkupkeep.cpp
@@ -13,15 +13,23 @@
 
 std::optional<BatchRunSlot> BulkRunner::yield(const ServiceName &service)
 {
+    const MonotonicTime now = clock_.monotonic();
+    if (now < nothingToYieldUntil_[service]) {
+        return std::nullopt;
+    }
+    const WallTime wall = clock_.wall();
     const Key *victim = nullptr;
     Milliseconds most{0};
     for (const auto &[key, run] : runs_) {
         if (run.service != service) {
             continue;
         }
-        const Milliseconds slack = slackOf(key, run.dueAt);
+        const std::uint64_t events = run.progress->count;
+        const Milliseconds rest = remaining(events);
+        const Milliseconds slack
+            = std::chrono::duration_cast<Milliseconds>(run.dueAt - wall) - rest;
         const bool hopeless = slack.count() < 0;
-        const bool endsSoon = remaining(key) < options_.keptRest && !isOverlong(key);
+        const bool endsSoon = rest < options_.keptRest && !isOverlong(events);
         const bool kept = endsSoon || (!hopeless && slack < options_.keptSlack);
         if (kept) {
             continue;
@@ -33,6 +41,7 @@
         }
     }
     if (victim == nullptr) {
+        nothingToYieldUntil_[service] = now + options_.searchPause;
         return std::nullopt;
     }
     const Key key = *victim;
@@ -40,7 +49,7 @@
     noteSpeed(found->second, progress_[key]);
     const BatchRunSlot slot = found->second.slot;
     noteRun(key, slot.server);
-    runs_.erase(found);
+    eraseRun(found);
     metrics_.count("persimmonlb_bulk_yields_total", {});
     return slot;
 }
@@ -95,6 +104,9 @@
     progress_.clear();
     unrecorded_.clear();
     proposeAgain_.clear();
+    touches_.clear();
+    nothingToYieldUntil_.clear();
+    nothingUrgentUntil_.clear();
 }
 
 void BulkRunner::tick()
@@ -103,12 +115,15 @@
     if (table == nullptr) {
         return;
     }
-    if (table->version() != seenVersion_) {
+    const MonotonicTime now = clock_.monotonic();
+    const bool jobEnded = table->endings() != seenEndings_;
+    if (jobEnded || (table->version() != seenVersion_ && now >= nextDrop_)) {
         seenVersion_ = table->version();
+        seenEndings_ = table->endings();
+        nextDrop_ = now + options_.dropInterval;
         dropEnded(*table);
     }
     abandonOld(*table);
-    const MonotonicTime now = clock_.monotonic();
     if (now >= nextSave_) {
         nextSave_ = now + options_.saveInterval;
         saveProgress();
@@ -193,6 +208,10 @@
     std::erase_if(progress_, [&](const auto &entry) { return isOver(entry.first); });
     std::erase_if(unrecorded_, [&](const auto &entry) { return isOver(entry.first); });
     std::erase_if(proposeAgain_, [&](const auto &entry) { return isOver(entry.first); });
+    std::erase_if(touches_, [&table](const auto &entry) {
+        const auto job = table.jobs().find(entry.first);
+        return job == table.jobs().end() || !job->second.isOpen();
+    });
 }
 
 void BulkRunner::abandonOld(const BulkTable &table)
--- a/persimmonlb/slots/slotbroker.cpp
+++ b/persimmonlb/slots/slotbroker.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <iterator>
 #include <utility>
 
 #include "persimmonlb/base/logline.h"
@@ -46,6 +47,16 @@
     servers_ = std::move(next);
     std::erase_if(held_,
                   [this](const auto &entry) { return !servers_.contains(entry.second.server); });
+    for (auto &[name, service] : services_) {
+        service.servers.clear();
+        service.grants.clear();
+    }
+    for (auto &[id, server] : servers_) {
+        services_[server.info.service].servers.push_back(&server);
+    }
+    for (const auto &[ticket, held] : held_) {
+        noteGrant(servers_.at(held.server), held.grantedAt);
+    }
     for (const auto &[name, service] : services_) {
         serveQueue(name);
     }
@@ -60,7 +71,9 @@
     }
     held_.clear();
     for (auto &[name, service] : services_) {
-        service = Service();
+        service.queue.clear();
+        service.holdMs = 0;
+        service.grants.clear();
     }
     queued_ = 0;
 }
@@ -116,23 +129,14 @@
         return Milliseconds::max();
     }
     const Milliseconds hold = usualHold(service);
-    const MonotonicTime now = clock_.monotonic();
-    std::vector<Milliseconds> ends;
-    for (const auto &[ticket, held] : held_) {
-        const auto server = servers_.find(held.server);
-        if (server == servers_.end() || server->second.info.service != service) {
-            continue;
-        }
-        const auto passed = std::chrono::duration_cast<Milliseconds>(now - held.grantedAt);
-        ends.push_back(std::max(hold - passed, hold / overdueShare));
-    }
-    if (ends.empty()) {
+    const std::vector<MonotonicTime> &grants = services_.at(service).grants;
+    if (grants.empty()) {
         return hold * (ahead + 1) / slots;
     }
     // Each slot that comes free goes to the next one, and is held as long as usual again.
-    const std::size_t position = ahead % ends.size();
-    std::ranges::nth_element(ends, ends.begin() + static_cast<std::ptrdiff_t>(position));
-    return ends[position] + hold * (ahead / ends.size());
+    const auto passed = std::chrono::duration_cast<Milliseconds>(clock_.monotonic()
+                                                                 - grants[ahead % grants.size()]);
+    return std::max(hold - passed, hold / overdueShare) + hold * (ahead / grants.size());
 }
 
 std::size_t SlotBroker::queuedAhead(const Service &service, const SlotRequest &request) const
@@ -196,7 +200,9 @@
     notePeak(server);
     server.tokens += request.tokens;
     warmUp(server, request);
-    held_[Ticket{host, request.ticket}] = Held{server.info.id, request.tokens, clock_.monotonic()};
+    const MonotonicTime now = clock_.monotonic();
+    held_[Ticket{host, request.ticket}] = Held{server.info.id, request.tokens, now};
+    noteGrant(server, now);
     hooks_.grant(host, SlotGrant{request.ticket, server.info.id, server.info.address});
 }
 
@@ -234,39 +240,57 @@
     ++queued_;
 }
 
-std::vector<SlotBroker::Queue::iterator> SlotBroker::orderOf(Queue &queue) const
-{
-    const MonotonicTime now = clock_.monotonic();
-    std::vector<Queue::iterator> order;
-    order.reserve(queue.size());
-    for (auto position = queue.begin(); position != queue.end(); ++position) {
-        order.push_back(position);
-    }
-    std::ranges::stable_sort(order, {}, [now](const Queue::iterator &position) {
-        return std::pair(position->request.priority, position->startBy < now);
-    });
-    return order;
-}
-
-void SlotBroker::serveQueue(const ServiceName &name)
+bool SlotBroker::serveRange(Queue &queue, Queue::iterator first, Queue::iterator last)
 {
-    Service &service = services_[name];
-    for (const auto position : orderOf(service.queue)) {
+    while (first != last) {
+        const auto position = first++;
         if (tryGrant(position->host, position->request)) {
-            service.queue.erase(position);
+            queue.erase(position);
             --queued_;
             continue;
         }
         // One that excludes servers may wait for others than those behind it.
         if (position->request.excluded.empty()) {
+            return false;
+        }
+    }
+    return true;
+}
+
+void SlotBroker::serveQueue(const ServiceName &name)
+{
+    Queue &queue = services_[name].queue;
+    const MonotonicTime now = clock_.monotonic();
+    auto position = queue.begin();
+    while (position != queue.end()) {
+        const std::uint32_t priority = position->request.priority;
+        const auto end = std::find_if(position, queue.end(), [priority](const Waiting &waiting) {
+            return waiting.request.priority != priority;
+        });
+        const auto inTime = std::find_if(
+            position, end, [now](const Waiting &waiting) { return waiting.startBy >= now; });
+        // The range of the late ones ends at an element that may be served and gone by then.
+        const bool anyLate = inTime != position;
+        const auto lastLate = anyLate ? std::prev(inTime) : position;
+        if (!serveRange(queue, inTime, end)) {
             break;
         }
+        if (anyLate && !serveRange(queue, position, std::next(lastLate))) {
+            break;
+        }
+        position = end;
     }
-    if (service.queue.empty() && hooks_.batchMayStart) {
+    if (queue.empty() && hooks_.batchMayStart) {
         hooks_.batchMayStart(name);
     }
 }
 
+void SlotBroker::noteGrant(const Server &server, MonotonicTime at)
+{
+    std::vector<MonotonicTime> &grants = services_[server.info.service].grants;
+    grants.insert(std::ranges::upper_bound(grants, at), at);
+}
+
 void SlotBroker::end(const HostId &from, const SlotEnd &end)
 {
     const auto found = held_.find(Ticket{from, end.ticket});
@@ -299,6 +323,11 @@
         return;
     }
     Server &server = found->second;
+    std::vector<MonotonicTime> &grants = services_[server.info.service].grants;
+    const auto granted = std::ranges::lower_bound(grants, held.grantedAt);
+    if (granted != grants.end() && *granted == held.grantedAt) {
+        grants.erase(granted);
+    }
     notePeak(server);
     server.online -= std::min(server.online, 1U);
     server.tokens -= std::min(server.tokens, held.tokens);
@@ -360,7 +389,9 @@
         ++server->second.online;
         notePeak(server->second);
         server->second.tokens += slot.tokens;
-        held_[Ticket{from, slot.ticket}] = Held{slot.server, slot.tokens, clock_.monotonic()};
+        const MonotonicTime now = clock_.monotonic();
+        held_[Ticket{from, slot.ticket}] = Held{slot.server, slot.tokens, now};
+        noteGrant(server->second, now);
     }
 }
 
@@ -400,23 +431,7 @@
 std::optional<ServerId> SlotBroker::takeForBatch(const ServiceName &service, std::uint64_t tokens,
                                                  bool urgent)
 {
-    if (waiting(service) > 0) {
-        return std::nullopt;
-    }
-    std::uint32_t slots = 0;
-    std::uint32_t foreign = 0;
-    for (const auto &[id, server] : servers_) {
-        if (server.info.service == service) {
-            slots += slotsOf(server);
-            foreign += server.capacity.stopsRuns ? foreignOf(server) : 0;
-        }
-    }
-    // What the leader before left running is stopped by moving it, and a move needs room.
-    if (!urgent && foreign > 0) {
-        return std::nullopt;
-    }
-    const auto reserve = static_cast<std::uint32_t>(std::ceil(options_.batchReserve * slots));
-    if (!urgent && freeSlots(service) <= reserve) {
+    if (roomForBatch(service, urgent) == 0) {
         return std::nullopt;
     }
     SlotRequest request;
@@ -433,6 +448,29 @@
     return server->info.id;
 }
 
+std::uint32_t SlotBroker::roomForBatch(const ServiceName &service, bool urgent) const
+{
+    const auto known = services_.find(service);
+    if (known == services_.end() || !known->second.queue.empty()) {
+        return 0;
+    }
+    const MonotonicTime now = clock_.monotonic();
+    std::uint32_t slots = 0;
+    std::uint32_t free = 0;
+    std::uint32_t foreign = 0;
+    for (const Server *server : known->second.servers) {
+        slots += slotsOf(*server);
+        free += takes(*server, 0, now) ? slotsOf(*server) - takenOf(*server, now) : 0;
+        foreign += server->capacity.stopsRuns ? foreignOf(*server, now) : 0;
+    }
+    if (urgent) {
+        return free;
+    }
+    const auto reserve = static_cast<std::uint32_t>(std::ceil(options_.batchReserve * slots));
+    // What the leader before left running is stopped by moving it, and a move needs room.
+    return foreign > 0 || free <= reserve ? 0 : free - reserve;
+}
+
 void SlotBroker::releaseBatch(const BatchRunSlot &run)
 {
     const auto found = servers_.find(run.server);
--- a/persimmonlb/slots/slotbroker.h
+++ b/persimmonlb/slots/slotbroker.h
@@ -110,6 +110,8 @@
     void noteLoad(const ServerId &server, std::uint32_t requests);
     /// A request that nobody here sent was ended.
     void noteForeignEnd(const ServerId &server);
+    /// Slots that batch may take now; `urgent` as in takeForBatch().
+    [[nodiscard]] std::uint32_t roomForBatch(const ServiceName &service, bool urgent) const;
     /// Address of a server, or empty.
     [[nodiscard]] std::string addressOf(const ServerId &server) const;
 
@@ -161,15 +163,20 @@
     struct Service {
         Queue queue; ///< Ordered by priority and startBy.
         double holdMs = 0;
+        std::vector<Server *> servers; ///< Of servers_.
+        /// When each held slot was granted, in this order. The first one ends first, as all are
+        /// held about as long.
+        std::vector<MonotonicTime> grants;
     };
 
-    [[nodiscard]] bool takes(const Server &server, std::uint64_t tokens) const;
-    [[nodiscard]] std::uint32_t slotsOf(const Server &server) const;
+    [[nodiscard]] static bool takes(const Server &server, std::uint64_t tokens, MonotonicTime now);
+    [[nodiscard]] static std::uint32_t slotsOf(const Server &server);
     /// Requests of senders that are gone, as far as it is known.
-    [[nodiscard]] std::uint32_t foreignOf(const Server &server) const;
+    [[nodiscard]] static std::uint32_t foreignOf(const Server &server, MonotonicTime now);
     /// Slots that are taken, by anybody.
-    [[nodiscard]] std::uint32_t takenOf(const Server &server) const;
-    [[nodiscard]] double costOf(const Server &server, const SlotRequest &request) const;
+    [[nodiscard]] static std::uint32_t takenOf(const Server &server, MonotonicTime now);
+    [[nodiscard]] static double costOf(const Server &server, const SlotRequest &request,
+                                       double usualHoldMs, MonotonicTime now);
     [[nodiscard]] Server *bestFor(const SlotRequest &request);
     /// Of servers that neither drain nor rest, whether taken or free.
     [[nodiscard]] std::uint32_t usableSlots(const ServiceName &service) const;
@@ -181,10 +188,12 @@
     void grant(const HostId &host, const SlotRequest &request, Server &server);
     void refuse(const HostId &host, const SlotRequest &request, Milliseconds wait);
     void enqueue(const HostId &host, const SlotRequest &request);
-    /// In which order to serve: by priority; of one priority those that can still start in time
-    /// first. Serving a late one first would make the next ones late as well.
-    [[nodiscard]] std::vector<Queue::iterator> orderOf(Queue &queue) const;
+    /// Serves by priority; of one priority those that can still start in time first. Serving a late
+    /// one first would make the next ones late as well.
     void serveQueue(const ServiceName &service);
+    /// Serves from `first` to before `last` until no slot is left; false then.
+    bool serveRange(Queue &queue, Queue::iterator first, Queue::iterator last);
+    void noteGrant(const Server &server, MonotonicTime at);
     void release(const Held &held);
     void releaseBatch(const BatchRunSlot &run);
     /// Call before and after each change of a server's requests.
--- a/persimmonlb/slots/slotbroker_test.cpp
+++ b/persimmonlb/slots/slotbroker_test.cpp
@@ -57,13 +57,18 @@
 
     bool stopsRuns;
     MonotonicTime now;
+    std::uint64_t clockReads = 0;
     std::vector<SlotGrant> grants;
     std::vector<SlotRefusal> refusals;
     std::vector<BatchRunSlot> batchRuns;
     int batchOffers = 0;
     SlotBroker broker{
         SlotBrokerOptions{},
-        Clock{.monotonic = [this] { return now; },
+        Clock{.monotonic =
+                  [this] {
+                      ++clockReads;
+                      return now;
+                  },
               .wall =
                   [] {
                       return WallTime();
@@ -96,6 +101,42 @@
 
 BOOST_AUTO_TEST_SUITE(SlotBrokerTest)
 
+/// The crest of a large fleet's wave: every slot of a hundred engines is held and requests wait. A
+/// decision must not cost a clock read, or a look-up, for each engine and each held slot.
+BOOST_AUTO_TEST_CASE(ARequestToAFullFleetOfAHundredEnginesReadsTheClockAFewTimes)
+{
+    Bench bench(102);
+    bench.fillInTurn(204, 1);
+    for (std::uint64_t ticket = 300; ticket < 400; ++ticket) {
+        bench.broker.request(entry, bench.ask(ticket, 2000));
+    }
+    BOOST_TEST(bench.broker.waiting(service) == 100U);
+    const std::uint64_t before = bench.clockReads;
+    bench.broker.request(entry, bench.ask(400, 2000));
+    bench.broker.end(entry, SlotEnd{.ticket = 1, .heldMs = 900});
+    BOOST_TEST(bench.clockReads - before < 30U);
+    BOOST_TEST(bench.grants.size() == 205U);
+}
+
+/// The estimate goes by the oldest grants, also after slots were given back out of turn.
+BOOST_AUTO_TEST_CASE(TheExpectedWaitFollowsTheOldestHeldSlots)
+{
+    Bench bench(1);
+    bench.fillInTurn(2, 400);
+    // 500 ms of the usual 900 are left of the first slot, and more of the second one.
+    bench.broker.request(entry, bench.ask(3, 499));
+    BOOST_TEST(bench.refusals.size() == 1U);
+    bench.broker.request(entry, bench.ask(4, 501));
+    BOOST_TEST(bench.refusals.size() == 1U);
+    bench.broker.end(entry, SlotEnd{.ticket = 4, .outcome = SlotOutcome::Abandoned, .heldMs = 0});
+    bench.broker.end(entry, SlotEnd{.ticket = 1, .outcome = SlotOutcome::Abandoned, .heldMs = 0});
+    bench.broker.request(entry, bench.ask(5));
+    bench.broker.request(entry, bench.ask(6, 899));
+    BOOST_TEST(bench.refusals.size() == 2U);
+    bench.broker.request(entry, bench.ask(7, 901));
+    BOOST_TEST(bench.refusals.size() == 2U);
+}
+
 BOOST_AUTO_TEST_CASE(RequestsSpreadOverServersAndNeverExceedTheirSlots)
 {
     Bench bench(2);
--- a/persimmonlb/slots/slotchoice.cpp
+++ b/persimmonlb/slots/slotchoice.cpp
@@ -22,7 +22,7 @@
 
 } // namespace
 
-std::uint32_t SlotBroker::slotsOf(const Server &server) const
+std::uint32_t SlotBroker::slotsOf(const Server &server)
 {
     if (server.onTrial) {
         return 1;
@@ -35,29 +35,30 @@
     return std::min(announced, configured);
 }
 
-std::uint32_t SlotBroker::foreignOf(const Server &server) const
+std::uint32_t SlotBroker::foreignOf(const Server &server, MonotonicTime now)
 {
-    return clock_.monotonic() < server.foreignUntil ? server.foreign : 0;
+    return now < server.foreignUntil ? server.foreign : 0;
 }
 
-std::uint32_t SlotBroker::takenOf(const Server &server) const
+std::uint32_t SlotBroker::takenOf(const Server &server, MonotonicTime now)
 {
-    return server.online + server.batch + foreignOf(server);
+    return server.online + server.batch + foreignOf(server, now);
 }
 
-bool SlotBroker::takes(const Server &server, std::uint64_t tokens) const
+bool SlotBroker::takes(const Server &server, std::uint64_t tokens, MonotonicTime now)
 {
-    if (server.info.draining || clock_.monotonic() < server.restsUntil) {
+    if (server.info.draining || now < server.restsUntil) {
         return false;
     }
-    if (takenOf(server) >= slotsOf(server)) {
+    if (takenOf(server, now) >= slotsOf(server)) {
         return false;
     }
     const std::uint64_t room = server.capacity.cacheTokens;
     return room == 0 || server.tokens == 0 || server.tokens + tokens <= room;
 }
 
-double SlotBroker::costOf(const Server &server, const SlotRequest &request) const
+double SlotBroker::costOf(const Server &server, const SlotRequest &request, double usualHoldMs,
+                          MonotonicTime now)
 {
     std::uint64_t warm = 0;
     for (const PromptPart &part : request.prompt) {
@@ -67,16 +68,14 @@
         warm += part.tokens;
     }
     const double slots = std::max(1U, slotsOf(server));
-    double cost
-        = fullServerCost * takenOf(server) / slots - static_cast<double>(warm) / warmTokensPerMs;
+    double cost = fullServerCost * takenOf(server, now) / slots
+        - static_cast<double>(warm) / warmTokensPerMs;
     if (!request.availabilityZone.empty()
         && server.info.availabilityZone != request.availabilityZone) {
         cost += otherZoneCost;
     }
-    const auto service = services_.find(server.info.service);
-    const double usual = service == services_.end() ? 0 : service->second.holdMs;
-    if (usual > 0 && server.holdMs > usual * slowServerRatio) {
-        cost += slowServerCost * (server.holdMs / usual - slowServerRatio);
+    if (usualHoldMs > 0 && server.holdMs > usualHoldMs * slowServerRatio) {
+        cost += slowServerCost * (server.holdMs / usualHoldMs - slowServerRatio);
     }
     return cost;
 }
@@ -86,12 +85,18 @@
     Server *best = nullptr;
     double lowest = 0;
     std::uint64_t equals = 0;
-    for (auto &[id, server] : servers_) {
-        if (server.info.service != request.service || !takes(server, request.tokens)
-            || std::ranges::find(request.excluded, id) != request.excluded.end()) {
+    const auto known = services_.find(request.service);
+    if (known == services_.end()) {
+        return nullptr;
+    }
+    const MonotonicTime now = clock_.monotonic();
+    for (Server *candidate : known->second.servers) {
+        Server &server = *candidate;
+        if (!takes(server, request.tokens, now)
+            || std::ranges::find(request.excluded, server.info.id) != request.excluded.end()) {
             continue;
         }
-        const double cost = costOf(server, request);
+        const double cost = costOf(server, request, known->second.holdMs, now);
         if (best != nullptr && cost > lowest) {
             continue;
         }
@@ -118,11 +123,15 @@
 
 std::uint32_t SlotBroker::usableSlots(const ServiceName &service) const
 {
+    const auto known = services_.find(service);
+    if (known == services_.end()) {
+        return 0;
+    }
+    const MonotonicTime now = clock_.monotonic();
     std::uint32_t slots = 0;
-    for (const auto &[id, server] : servers_) {
-        const bool resting = clock_.monotonic() < server.restsUntil;
-        if (server.info.service == service && !server.info.draining && !resting) {
-            slots += slotsOf(server);
+    for (const Server *server : known->second.servers) {
+        if (!server->info.draining && now >= server->restsUntil) {
+            slots += slotsOf(*server);
         }
     }
     return slots;
@@ -130,12 +139,14 @@
 
 std::uint32_t SlotBroker::freeSlots(const ServiceName &service) const
 {
+    const auto known = services_.find(service);
+    if (known == services_.end()) {
+        return 0;
+    }
+    const MonotonicTime now = clock_.monotonic();
     std::uint32_t free = 0;
-    for (const auto &[id, server] : servers_) {
-        if (server.info.service != service || !takes(server, 0)) {
-            continue;
-        }
-        free += slotsOf(server) - takenOf(server);
+    for (const Server *server : known->second.servers) {
+        free += takes(*server, 0, now) ? slotsOf(*server) - takenOf(*server, now) : 0;
     }
     return free;
 }
