Bytes without end from servers are bounded: answers, events, outputs of items, answers of engines

Cause: an answer that is no stream was kept whole up to 1 GB, an event and an item's output without bound, and the answer to a load query as long as its 500 ms lasted. Heads and chunk heads were bounded already (client_test).

Change: maxAnswerBytes 4 MB (ten at once fit into 88 MB), maxEventBytes 256 KB, maxOutputBytes 4 MB, 256 KB for an engine's answer. Past it the connection is closed, the run counts as the server's failure and goes on as the table in docs/PLATFORM.md says; a server that says that it did not run the request is believed.

Tests send 64 KB pieces until the exchange is closed: relay (safe, once only, refused, resumable stream), event reader, bulk items, engine inspector. What the code before kept is read from it, not run.

--- a/persimmonlb/bulk/bulkrunner.cpp
+++ b/persimmonlb/bulk/bulkrunner.cpp
@@ -296,8 +296,18 @@
         ++progress.count;
         run->progressAt = clock_.monotonic();
     }
+    if (progress.output.size() > options_.maxOutputBytes) {
+        progress.events = EventReader();
+        progress.output = std::string();
+        progress.count = 0;
+        progress.savedCount = 0;
+        progress.savedBytes = 0;
+        runFailed(key, SlotOutcome::Failed, "the output is too long", options_.failurePause);
+        return;
+    }
     if (progress.events.isBroken()) {
-        runFailed(key, SlotOutcome::Failed, "an event is missing", options_.refusalPause);
+        runFailed(key, SlotOutcome::Failed, "an event is missing or too long",
+                  options_.refusalPause);
     }
 }
 
--- a/persimmonlb/bulk/bulkrunner.h
+++ b/persimmonlb/bulk/bulkrunner.h
@@ -52,6 +52,9 @@
     /// How often what is kept of ended items is looked for; runs of a job that its caller ends are
     /// ended at once.
     Milliseconds dropInterval{100};
+    /// An item with a longer output is begun anew: its server sends without end. Some hundred times
+    /// the longest output of our engines.
+    std::size_t maxOutputBytes = 4UL * 1024 * 1024;
     /// What a server says of its runs may be so old.
     Milliseconds loadAge{1000};
 };
--- a/persimmonlb/bulk/bulkrunner_test.cpp
+++ b/persimmonlb/bulk/bulkrunner_test.cpp
@@ -386,6 +386,48 @@
     BOOST_TEST(bench.sendings[2]->behind.has_value());
 }
 
+BOOST_AUTO_TEST_CASE(AnOutputWithoutEndIsLeftAndTheItemIsDoneElsewhere)
+{
+    Bench bench;
+    bench.accept("a", 1);
+    bench.pass(20);
+    const auto first = bench.sendings.at(0);
+    first->hooks.head(HttpResponseHead{200, {}});
+    const std::string data(64UL * 1024, 'x');
+    int id = 0;
+    while (!first->closed && id < 1000) {
+        ++id;
+        first->hooks.chunk("id: " + std::to_string(id) + "\ndata: " + data + "\n\n");
+    }
+    BOOST_TEST(id < 70);
+    bench.pass(600);
+    BOOST_REQUIRE_EQUAL(bench.sendings.size(), 2U);
+    BOOST_TEST(!bench.sendings[1]->behind.has_value());
+    bench.answer(1, 200, eventsUpTo(2));
+    bench.end(1, ResultCode::Ok);
+    BOOST_REQUIRE_EQUAL(bench.results("a").size(), 1U);
+    BOOST_TEST(bench.results("a")[0].output == "d1\nd2");
+}
+
+BOOST_AUTO_TEST_CASE(AnEventWithoutEndOfAnItemIsLeft)
+{
+    Bench bench;
+    bench.accept("a", 1);
+    bench.pass(20);
+    const auto first = bench.sendings.at(0);
+    first->hooks.head(HttpResponseHead{200, {}});
+    first->hooks.chunk(eventsUpTo(1));
+    int pieces = 0;
+    while (!first->closed && pieces < 1000) {
+        ++pieces;
+        first->hooks.chunk(std::string(64UL * 1024, 'x'));
+    }
+    BOOST_TEST(pieces < 6);
+    bench.pass(200);
+    BOOST_REQUIRE_EQUAL(bench.sendings.size(), 2U);
+    BOOST_TEST(*bench.sendings[1]->behind == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(WhatIsNotDoneInTimeIsGivenUp)
 {
     Bench bench;
--- a/persimmonlb/fleetnode/engineinspector.cpp
+++ b/persimmonlb/fleetnode/engineinspector.cpp
@@ -65,14 +65,29 @@
     hooks.head = [status](const HttpResponseHead &head) {
         *status = head.status;
     };
-    hooks.chunk = [body](const std::string &chunk) {
+    const auto ended = std::make_shared<bool>(false);
+    const auto finish = [this, call, ended, answered = std::move(answered)](
+                            std::uint16_t result, const std::string &answer) {
+        if (!std::exchange(*ended, true)) {
+            finished_.push_back(call);
+            answered(result, answer);
+        }
+    };
+    hooks.chunk = [this, body, ended, finish](const std::string &chunk) {
+        if (*ended) {
+            return;
+        }
+        if (body->size() + chunk.size() > options_.maxAnswerBytes) {
+            // The exchange is let go of at the next tick, and with it the connection.
+            *body = std::string();
+            finish(0, {});
+            return;
+        }
         *body += chunk;
     };
-    hooks.end
-        = [this, call, body, status, answered = std::move(answered)](const HttpExchangeEnd &end) {
-              finished_.push_back(call);
-              answered(end.code == ResultCode::Ok ? *status : 0, *body);
-          };
+    hooks.end = [body, status, finish](const HttpExchangeEnd &end) {
+        finish(end.code == ResultCode::Ok ? *status : 0, *body);
+    };
     calls_[call] = hooks_.send(address, std::move(request), options_.timeout, std::move(hooks));
 }
 
--- a/persimmonlb/fleetnode/engineinspector.h
+++ b/persimmonlb/fleetnode/engineinspector.h
@@ -41,6 +41,8 @@
     /// Engines say what they did some hundred milliseconds ago.
     Milliseconds interval{300};
     Milliseconds timeout{500};
+    /// A longer answer of an engine is none.
+    std::size_t maxAnswerBytes = 256UL * 1024;
     /// Stops that are asked for at once. Each needs a free slot somewhere for some milliseconds,
     /// and while engines are full there are few.
     std::size_t stopsAtOnce = 4;
--- a/persimmonlb/fleetnode/engineinspector_test.cpp
+++ b/persimmonlb/fleetnode/engineinspector_test.cpp
@@ -133,6 +133,22 @@
     BOOST_TEST(bench.sent("load").size() == 4U);
 }
 
+BOOST_AUTO_TEST_CASE(AnAnswerOfAnEngineWithoutEndIsClosed)
+{
+    Bench bench;
+    const auto asked = bench.sendings.at(0);
+    asked->hooks.head(HttpResponseHead{200, {}});
+    const std::string piece(64UL * 1024, 'x');
+    for (int i = 0; i < 100; ++i) {
+        asked->hooks.chunk(piece);
+    }
+    bench.pass(20);
+    BOOST_TEST(asked->closed);
+    BOOST_TEST(bench.noted.empty());
+    bench.pass(400);
+    BOOST_TEST(bench.sent("load").size() == 4U);
+}
+
 BOOST_AUTO_TEST_CASE(AnOrphanIsMovedAwayAndItsCopyFreed)
 {
     Bench bench;
--- a/persimmonlb/relay/eventreader.cpp
+++ b/persimmonlb/relay/eventreader.cpp
@@ -98,6 +98,10 @@
         used += end;
     }
     buffer_.erase(0, used);
+    if (buffer_.size() > maxEventBytes) {
+        broken_ = true;
+        buffer_ = std::string();
+    }
     return passed;
 }
 
--- a/persimmonlb/relay/eventreader.h
+++ b/persimmonlb/relay/eventreader.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -9,6 +10,10 @@
 namespace persimmonlb
 {
 
+/// A stream with a longer event is broken: a server in trouble may send bytes without end. Some
+/// hundred times the longest event of our engines.
+inline constexpr std::size_t maxEventBytes = 256UL * 1024;
+
 /// One server-sent event.
 struct StreamEvent {
     std::uint64_t id = 0;
@@ -40,7 +45,7 @@
 
     /// The last event passed, or nothing.
     [[nodiscard]] std::optional<std::uint64_t> lastId() const;
-    /// An event is missing or has no id.
+    /// An event is missing, has no id or is too long.
     [[nodiscard]] bool isBroken() const;
     /// Bytes of an event that has not ended.
     [[nodiscard]] bool isInsideEvent() const;
--- a/persimmonlb/relay/eventreader_test.cpp
+++ b/persimmonlb/relay/eventreader_test.cpp
@@ -62,6 +62,22 @@
     BOOST_TEST(reader.feed(event(2)).empty());
 }
 
+BOOST_AUTO_TEST_CASE(AnEventWithoutEndBreaksTheStreamAndIsNotKept)
+{
+    EventReader reader;
+    BOOST_TEST(joined(reader.feed(event(1) + "id: 2\ndata: ")) == "1 ");
+    const std::string piece(16UL * 1024, 'x');
+    std::size_t fed = 0;
+    while (!reader.isBroken() && fed < 100 * maxEventBytes) {
+        BOOST_TEST(reader.feed(piece).empty());
+        fed += piece.size();
+    }
+    BOOST_TEST(fed <= maxEventBytes + piece.size());
+    BOOST_TEST(!reader.isInsideEvent());
+    reader.reopen();
+    BOOST_TEST(joined(reader.feed(event(2))) == "2 ");
+}
+
 BOOST_AUTO_TEST_CASE(AnEventWithoutIdBreaksTheStream)
 {
     EventReader reader;
--- a/persimmonlb/relay/internal/relaycall.cpp
+++ b/persimmonlb/relay/internal/relaycall.cpp
@@ -182,6 +182,15 @@
         passEvents(chunk);
         return;
     }
+    if (body_.size() + chunk.size() > service_.options_.maxAnswerBytes) {
+        // A server that says that it did not run the request is believed all the same.
+        const bool notRun = answerClass_ == AnswerClass::NotRun;
+        mayHaveRun_ += notRun ? 0 : 1;
+        body_ = std::string();
+        attemptFailed(SlotOutcome::Failed,
+                      makeError(ResultCode::BackendFailed, "the answer is too long"));
+        return;
+    }
     body_ += chunk;
 }
 
--- a/persimmonlb/relay/relayservice.h
+++ b/persimmonlb/relay/relayservice.h
@@ -36,6 +36,9 @@
     double freshShare = 0.93;
     /// Bytes of an answer that wait for the caller before the server is paused.
     std::size_t maxUnwritten = 256UL * 1024;
+    /// A longer answer that is no stream is the server's failure. Ten such answers at once fit
+    /// into an entry host of 88 MB.
+    std::size_t maxAnswerBytes = 4UL * 1024 * 1024;
     /// Lines for requests that went well, a second; further ones are counted only.
     std::uint32_t successLinesPerSecond = 20;
 };
--- a/persimmonlb/relay/relayservice_test.cpp
+++ b/persimmonlb/relay/relayservice_test.cpp
@@ -3,6 +3,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include "persimmonlb/http/testing/fakesending.h"
+#include "persimmonlb/relay/eventreader.h"
 #include "persimmonlb/relay/relayservice.h"
 #include "persimmonlb/testing/laterqueue.h"
 
@@ -265,6 +266,74 @@
     BOOST_TEST(bench.caller->body == "second");
 }
 
+namespace
+{
+
+/// Sends chunks until the exchange is closed, and tells how many bytes that were.
+std::size_t floodUntilClosed(Bench &bench)
+{
+    const auto sending = bench.sendings.back();
+    const std::string piece(64UL * 1024, 'x');
+    std::size_t sent = 0;
+    while (!sending->closed && sent < 64UL * 1024 * 1024) {
+        sending->hooks.chunk(piece);
+        bench.later.run();
+        sent += piece.size();
+    }
+    return sent;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(AnAnswerWithoutEndIsTheServersFailure)
+{
+    for (const std::uint16_t status : {200, 500}) {
+        Bench bench;
+        bench.relay(RouteKind::Safe);
+        bench.head(status);
+        BOOST_TEST(floodUntilClosed(bench) <= RelayOptions{}.maxAnswerBytes + 64UL * 1024);
+        BOOST_REQUIRE_EQUAL(bench.sendings.size(), 2U);
+        bench.head(200);
+        bench.chunk("whole");
+        bench.end(ResultCode::Ok);
+        BOOST_TEST(bench.caller->body == "whole");
+    }
+}
+
+BOOST_AUTO_TEST_CASE(AnAnswerWithoutEndToAOnceOnlyRequestEndsItAtOnce)
+{
+    Bench bench;
+    bench.relay(RouteKind::OnceOnly);
+    bench.head(200);
+    floodUntilClosed(bench);
+    BOOST_TEST(bench.sendings.size() == 1U);
+    BOOST_TEST(bench.caller->status == 502);
+}
+
+BOOST_AUTO_TEST_CASE(ARefusalWithoutEndIsBelieved)
+{
+    Bench bench;
+    bench.relay(RouteKind::OnceOnly);
+    bench.head(421);
+    floodUntilClosed(bench);
+    BOOST_TEST(bench.sendings.size() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(AnEventWithoutEndIsLeftAndTheStreamGoesOnElsewhere)
+{
+    Bench bench;
+    bench.relay(RouteKind::Streaming, true);
+    bench.head(200);
+    bench.chunk(event(1));
+    BOOST_TEST(floodUntilClosed(bench) <= maxEventBytes + 64UL * 1024);
+    BOOST_REQUIRE_EQUAL(bench.sendings.size(), 2U);
+    BOOST_TEST(*bench.resumedBehind.back() == 1U);
+    bench.head(200);
+    bench.chunk(event(2));
+    bench.end(ResultCode::Ok);
+    BOOST_TEST(bench.caller->body == event(1) + event(2));
+}
+
 BOOST_AUTO_TEST_CASE(AResumableStreamGoesOnBehindItsLastEvent)
 {
     Bench bench;
