--- a/persimmonlb/fleetnode/fleetmesh.cpp
+++ b/persimmonlb/fleetnode/fleetmesh.cpp
@@ -25,7 +25,7 @@
 constexpr Milliseconds peerLinger{3000};
 /// For each entry host of the fleet: within this time all of them connect to a new leader. A
 /// connection costs each end about half a millisecond of a processor that is shared.
-constexpr Milliseconds dialSpread{3};
+constexpr std::chrono::microseconds dialSpread{1500};
 /// A parent that has had a newer view for so long did not send it all.
 constexpr Milliseconds viewLag{2000};
 
@@ -301,7 +301,7 @@
         // Not every entry host at once: the new leader has the fleet to take over.
         const auto spread = static_cast<std::uint64_t>(
             std::max<std::int64_t>(1, (dialSpread * view.entries.size()).count()));
-        const auto wait = Milliseconds(static_cast<std::int64_t>(random() % spread));
+        const std::chrono::microseconds wait(static_cast<std::int64_t>(random() % spread));
         const auto due = dialAt.emplace(host, now + wait).first;
         if (now >= due->second) {
             dial(host);
@@ -351,12 +351,15 @@
         send(settings.host, report);
     }
     const HostId &to = parent.parent();
-    if (to != reportedTo && !reportedTo.empty()) {
+    if (to != reportedTo) {
         HostReport last = report;
         last.leaving = true;
-        send(reportedTo, last);
+        if (!reportedTo.empty()) {
+            send(reportedTo, last);
+        }
+        reportedTo = to;
+        behindSince = clock.monotonic();
     }
-    reportedTo = to;
     if (!to.empty()) {
         send(to, report);
     }
