--- a/persimmonlb/fleettree/parentchoice_test.cpp
+++ b/persimmonlb/fleettree/parentchoice_test.cpp
@@ -46,6 +46,7 @@
 std::vector<ParentCandidate> stores(int count, std::uint32_t tier = 0)
 {
     std::vector<ParentCandidate> result;
+    result.reserve(static_cast<std::size_t>(count));
     for (int number = 0; number < count; ++number) {
         result.push_back({HostId{"s" + std::to_string(tier) + "-" + std::to_string(number)}, tier});
     }
