Routes are parsed once at the leader and not at all where no callers are taken; pushed at most each 250 ms

Ruled out: the choice of servers (no growth with routes), slots (2455 refusals come with the crests).

Change: the leader hands its table on, storage hosts pass the text on unread, versions that follow each other within 250 ms are not all sent.

--- a/persimmonlb/fleetnode/fleetparts.cpp
+++ b/persimmonlb/fleetnode/fleetparts.cpp
@@ -109,7 +109,10 @@
             .sendToSome
             = [this](const std::vector<HostId> &to, const PeerBody &body) { sendTo(to, body); },
             .change = [this](const FleetChange &change) { takeChange(change); },
-            .routesInForce = [this](const RoutesPush &push) { takeRoutes(push); },
+            .routesInForce =
+                [this](const RoutesPush &push, std::shared_ptr<const RouteTable> table) {
+                    takeRoutes(push, std::move(table));
+                },
             .suspects = [this](const CrashSuspects &told) { crashes.take(told); },
             .leaderAge = [this] { return leaderAge(); },
             .post = [this](std::function<void()> fn) { boost::asio::post(context, std::move(fn)); },
--- a/persimmonlb/fleetnode/internal/fleetparts.h
+++ b/persimmonlb/fleetnode/internal/fleetparts.h
@@ -41,7 +41,8 @@
     void takeView(const FleetView &pushed);
     /// Takes a change of the view held, from the leader or made by this host itself.
     void takeChange(const FleetChange &change);
-    void takeRoutes(const RoutesPush &push);
+    /// `parsed`: the same routes, when this host has parsed them already.
+    void takeRoutes(const RoutesPush &push, std::shared_ptr<const RouteTable> parsed = nullptr);
     void takeBeat(const HostId &from, const LeaderBeat &beat);
     /// Tells the parts of a view that is newer than the one before.
     void viewUpdated(const HostId &formerLeader, const FleetChange *change);
--- a/persimmonlb/fleetnode/storagerole.h
+++ b/persimmonlb/fleetnode/storagerole.h
@@ -47,7 +47,8 @@
     /// Takes a change of the view that this host makes as the leader.
     std::function<void(const FleetChange &change)> change;
     /// Takes routes and suspects that this host puts in force as the leader.
-    std::function<void(const RoutesPush &push)> routesInForce;
+    std::function<void(const RoutesPush &push, std::shared_ptr<const RouteTable> table)>
+        routesInForce;
     std::function<void(const CrashSuspects &told)> suspects;
     /// How old this host's last word of the leader is.
     std::function<Milliseconds()> leaderAge;
@@ -163,6 +164,7 @@
     std::uint64_t publishedRegistry_ = 0;
     std::vector<HostId> publishedVoters_;
     MonotonicTime nextPublish_;
+    MonotonicTime nextRoutesPush_;
     std::uint64_t pushedRoutes_ = 0;
     std::uint64_t pushedCrashes_ = 0;
     MonotonicTime nextCrashes_;
