--- a/persimmonlb/fleetnode/fleetmesh.cpp
+++ b/persimmonlb/fleetnode/fleetmesh.cpp
@@ -1,5 +1,4 @@
 // The half of FleetNode::Parts that speaks to other hosts.
-#include <algorithm>
 #include <utility>
 
 #include <boost/asio/post.hpp>
@@ -20,14 +19,6 @@
 constexpr Milliseconds idleMargin{5000};
 /// Hosts that start together must find each other before the first election.
 constexpr Milliseconds meshReconnect{100};
-/// A connection that is not needed any more is kept for so long: a former parent must not take this
-/// host for lost before the next one has named it.
-constexpr Milliseconds peerLinger{3000};
-/// For each entry host of the fleet: within this time all of them connect to a new leader. A
-/// connection costs each end about half a millisecond of a processor that is shared.
-constexpr std::chrono::microseconds dialSpread{1500};
-/// A parent that has had a newer view for so long did not send it all.
-constexpr Milliseconds viewLag{2000};
 
 bool isOfGateway(const PeerBody &body)
 {
@@ -174,31 +165,6 @@
     }
 }
 
-void FleetNode::Parts::takeBeat(const HostId &from, const LeaderBeat &beat)
-{
-    const Milliseconds age(static_cast<std::int64_t>(beat.ageMs));
-    parent.heard(from, age);
-    if (from == parent.parent()) {
-        const MonotonicTime now = clock.monotonic();
-        leaderHeardAt = std::max(leaderHeardAt, now - age);
-        if (ViewPosition{beat.term, beat.version} <= positionOf(view)) {
-            behindSince = now;
-        }
-        needsWholeView = needsWholeView || now - behindSince > viewLag;
-    }
-    if (from == view.leader) {
-        supervisor.guard(gatewayChild, [&] { gateway->leaderReached(from); });
-    }
-}
-
-Milliseconds FleetNode::Parts::leaderAge() const
-{
-    if (storage && storage->isLeader()) {
-        return Milliseconds(0);
-    }
-    return std::chrono::duration_cast<Milliseconds>(clock.monotonic() - leaderHeardAt);
-}
-
 void FleetNode::Parts::takeRoutes(const RoutesPush &push, std::shared_ptr<const RouteTable> parsed)
 {
     if (push.version <= routesVersion) {
@@ -234,161 +200,6 @@
     supervisor.guard(storageChild, [&] { storage->routesChanged(push); });
 }
 
-std::vector<ParentCandidate> FleetNode::Parts::parentCandidates() const
-{
-    std::vector<ParentCandidate> candidates;
-    if (storage && storage->isLeader()) {
-        return candidates;
-    }
-    if (view.term == 0) {
-        for (const HostId &seed : seedHosts(settings)) {
-            candidates.push_back({.host = seed});
-        }
-        return candidates;
-    }
-    for (const FleetStore &store : view.stores) {
-        if (!settings.stores) {
-            const bool isNear = store.availabilityZone == settings.availabilityZone;
-            // The leader has enough to do.
-            const bool isBusy = store.host == view.leader;
-            candidates.push_back(
-                {.host = store.host, .tier = (isNear ? 0U : 2U) + (isBusy ? 1 : 0)});
-            continue;
-        }
-        // A storage host reports to the leader, and to other voters while it cannot be reached.
-        if (store.votes) {
-            candidates.push_back({.host = store.host, .tier = store.host == view.leader ? 0U : 1U});
-        }
-    }
-    return candidates;
-}
-
-std::set<HostId> FleetNode::Parts::neededPeers() const
-{
-    std::set<HostId> needed{parent.parent(), view.leader};
-    if (storage) {
-        for (const FleetStore &store : view.stores) {
-            if (store.votes) {
-                needed.insert(store.host);
-            }
-        }
-        for (const HostId &member : storage->members()) {
-            needed.insert(hostOfMember(member));
-        }
-        for (const HostId &seed : seedHosts(settings)) {
-            needed.insert(seed);
-        }
-    }
-    needed.erase(HostId());
-    needed.erase(settings.host);
-    return needed;
-}
-
-void FleetNode::Parts::keepPeers()
-{
-    if (!mesh) {
-        return;
-    }
-    const bool otherParent = parent.setCandidates(parentCandidates());
-    const MonotonicTime now = clock.monotonic();
-    const std::set<HostId> needed = neededPeers();
-    std::erase_if(dialAt, [&](const auto &entry) { return !needed.contains(entry.first); });
-    for (const HostId &host : needed) {
-        if (peers.contains(host)) {
-            peers[host] = now;
-            continue;
-        }
-        if (settings.stores || host == parent.parent()) {
-            dial(host);
-            continue;
-        }
-        // Not every entry host at once: the new leader has the fleet to take over.
-        const auto spread = static_cast<std::uint64_t>(
-            std::max<std::int64_t>(1, (dialSpread * view.entries.size()).count()));
-        const std::chrono::microseconds wait(static_cast<std::int64_t>(random() % spread));
-        const auto due = dialAt.emplace(host, now + wait).first;
-        if (now >= due->second) {
-            dial(host);
-        }
-    }
-    for (auto position = peers.begin(); position != peers.end();) {
-        if (now - position->second <= peerLinger) {
-            ++position;
-            continue;
-        }
-        mesh->removePeer(position->first);
-        position = peers.erase(position);
-    }
-    if (otherParent) {
-        report();
-    }
-}
-
-void FleetNode::Parts::dial(const HostId &host)
-{
-    dialAt.erase(host);
-    peers[host] = clock.monotonic();
-    mesh->addPeer({.host = host,
-                   .address = host.value + ":" + std::to_string(settings.meshPort),
-                   .dialsBack = settings.stores});
-}
-
-void FleetNode::Parts::report()
-{
-    HostReport report;
-    report.name = settings.name;
-    report.meshAddress = settings.meshListen;
-    report.availabilityZone = settings.availabilityZone;
-    report.region = settings.region;
-    report.routesVersion = routesVersion;
-    if (!needsWholeView) {
-        report.viewTerm = view.term;
-        report.viewVersion = view.version;
-    }
-    if (gateway) {
-        report.draining = gateway->isDraining();
-        report.address = gateway->routes() ? settings.callerListen : std::string();
-    }
-    if (storage) {
-        storage->fillReport(report);
-        // What leads, or takes callers beside, hears itself like any other host.
-        send(settings.host, report);
-    }
-    const HostId &to = parent.parent();
-    if (to != reportedTo) {
-        HostReport last = report;
-        last.leaving = true;
-        if (!reportedTo.empty()) {
-            send(reportedTo, last);
-        }
-        reportedTo = to;
-        behindSince = clock.monotonic();
-    }
-    if (!to.empty()) {
-        send(to, report);
-    }
-}
-
-void FleetNode::Parts::peerConnected(const HostId &peer)
-{
-    connected.insert(peer);
-    if (peer == view.leader) {
-        supervisor.guard(gatewayChild, [&] { gateway->leaderReached(peer); });
-    }
-    supervisor.guard(storageChild, [&] { storage->hostConnected(peer); });
-    if (peer == parent.parent()) {
-        report();
-    }
-}
-
-void FleetNode::Parts::peerDisconnected(const HostId &peer)
-{
-    connected.erase(peer);
-    parent.lost(peer);
-    supervisor.guard(gatewayChild, [&] { gateway->hostLost(peer); });
-    supervisor.guard(storageChild, [&] { storage->hostLost(peer); });
-}
-
 Result<void> FleetNode::Parts::startMesh()
 {
     MeshOptions options;
