Parents tell a leader anew of their entry hosts in each term, also when the same host leads again

Cause (found by reading): a parent told its list again when another host led. A host that lost and regained its lead adopted the entry hosts of its view without parents, nobody named them again, and 1.5 s later callers were told of none. Seen failing: attachments_test TheSameHostThatLeadsAgainIsToldAgain with the host alone compared.

Change: Attachments::setLeader compares host and term.

--- a/persimmonlb/fleetnode/fleetmesh.cpp
+++ b/persimmonlb/fleetnode/fleetmesh.cpp
@@ -158,8 +158,7 @@
         keepPeers();
     }
     supervisor.guard(gatewayChild, [&] { gateway->viewChanged(view); });
-    supervisor.guard(storageChild,
-                     [&] { storage->viewChanged(view.leader != formerLeader, change); });
+    supervisor.guard(storageChild, [&] { storage->viewChanged(change); });
     if (view.leader != formerLeader && gateway && connected.contains(view.leader)) {
         supervisor.guard(gatewayChild, [&] { gateway->leaderReached(view.leader); });
     }
--- a/persimmonlb/fleetnode/storagerole.cpp
+++ b/persimmonlb/fleetnode/storagerole.cpp
@@ -381,11 +381,10 @@
     broker_.hostLost(host);
 }
 
-void StorageRole::viewChanged(bool otherLeader, const FleetChange *change)
+void StorageRole::viewChanged(const FleetChange *change)
 {
-    if (otherLeader) {
-        attachments_.forgetTold();
-    }
+    const FleetView &view = deps_.lastView();
+    attachments_.setLeader(view.leader, view.term);
     if (change != nullptr) {
         feed_.viewChanged(*change);
     }
--- a/persimmonlb/fleetnode/storagerole.h
+++ b/persimmonlb/fleetnode/storagerole.h
@@ -78,7 +78,7 @@
     void hostConnected(const HostId &host);
     void hostLost(const HostId &host);
     /// The view of this host has changed; null: it was replaced.
-    void viewChanged(bool otherLeader, const FleetChange *change);
+    void viewChanged(const FleetChange *change);
     void routesChanged(const RoutesPush &push);
     /// Passes what the leader tells on to the hosts that report here.
     void passDown(const PeerBody &body);
--- a/persimmonlb/fleettree/attachments.cpp
+++ b/persimmonlb/fleettree/attachments.cpp
@@ -54,6 +54,15 @@
     }
 }
 
+void Attachments::setLeader(const HostId &leader, std::uint64_t term)
+{
+    if (leader != leader_ || term != term_) {
+        leader_ = leader;
+        term_ = term;
+        forgetTold();
+    }
+}
+
 void Attachments::forgetTold()
 {
     toldAny_ = false;
--- a/persimmonlb/fleettree/attachments.h
+++ b/persimmonlb/fleettree/attachments.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <map>
 #include <set>
 
@@ -27,7 +28,10 @@
     /// Drops what was silent for too long. Call each 100 ms or so.
     void tick();
 
-    /// Nothing that was told holds any more: another host leads, or the connection to it was new.
+    /// Who leads, and in which term: a new leader knows nothing of what the one before was told,
+    /// also when it is the same host.
+    void setLeader(const HostId &leader, std::uint64_t term);
+    /// Nothing that was told holds any more: the connection to the leader is new, or broke.
     void forgetTold();
     /// True when the leader must be told something.
     [[nodiscard]] bool hasNews() const;
@@ -49,6 +53,8 @@
     std::map<HostId, Entry> entries_;
     std::set<HostId> changed_;
     std::set<HostId> gone_;
+    HostId leader_;
+    std::uint64_t term_ = 0;
     bool toldAny_ = false; ///< The leader has had the whole list.
 };
 
--- a/persimmonlb/fleettree/attachments_test.cpp
+++ b/persimmonlb/fleettree/attachments_test.cpp
@@ -125,6 +125,25 @@
     BOOST_TEST(bench.leader.entries()[0].host.value == "a");
 }
 
+BOOST_AUTO_TEST_CASE(TheSameHostThatLeadsAgainIsToldAgain)
+{
+    Bench bench;
+    bench.first.setLeader(HostId{"l"}, 2);
+    bench.first.report(HostId{"a"}, Bench::report("a"));
+    bench.tell(bench.first, "p1");
+    FleetView view;
+    view.term = 2;
+    view.entries = bench.leader.entries();
+    bench.leader.adopt(view);
+    bench.first.setLeader(HostId{"l"}, 3);
+    bench.tell(bench.first, "p1");
+    bench.now += Milliseconds(1600);
+    bench.leader.tick();
+    BOOST_TEST(bench.leader.entries().size() == 1U);
+    bench.first.setLeader(HostId{"l"}, 3);
+    BOOST_TEST(!bench.first.hasNews());
+}
+
 BOOST_AUTO_TEST_CASE(ANewLeaderNamesTheEntryHostsThatItAdopted)
 {
     Bench bench;
