--- a/persimmonlb/fleet/fleetchange.cpp
+++ b/persimmonlb/fleet/fleetchange.cpp
@@ -90,6 +90,17 @@
     return ViewPosition{view.term, view.version};
 }
 
+std::vector<HostId> votersOf(const FleetView &view)
+{
+    std::vector<HostId> voters;
+    for (const FleetStore &store : view.stores) {
+        if (store.votes) {
+            voters.push_back(store.host);
+        }
+    }
+    return voters;
+}
+
 std::optional<FleetChange> changeBetween(const FleetView &before, const FleetView &after)
 {
     FleetChange change{.baseTerm = before.term,
--- a/persimmonlb/fleet/fleetchange.h
+++ b/persimmonlb/fleet/fleetchange.h
@@ -18,6 +18,9 @@
 
 [[nodiscard]] ViewPosition positionOf(const FleetView &view);
 
+/// Hosts of the replicated group that may lead.
+[[nodiscard]] std::vector<HostId> votersOf(const FleetView &view);
+
 /// What `after` has that `before` has not; nothing when hosts would act no differently. Both lists
 /// of a kind are ordered by id, as FleetRegistry gives them.
 [[nodiscard]] std::optional<FleetChange> changeBetween(const FleetView &before,
--- a/persimmonlb/fleetnode/fleetmesh.cpp
+++ b/persimmonlb/fleetnode/fleetmesh.cpp
@@ -144,20 +144,14 @@
             .write();
         leaderHeardAt = clock.monotonic();
     }
-    std::vector<HostId> voters;
-    for (const FleetStore &store : view.stores) {
-        if (store.votes) {
-            voters.push_back(store.host);
-        }
-    }
-    control.setControlHosts(std::move(voters));
+    control.setControlHosts(votersOf(view));
     control.noteLeader(view.leader);
     const bool moved = view.leader != formerLeader || change == nullptr || !change->stores.empty()
         || !change->goneStores.empty();
     if (moved) {
         keepPeers();
     }
-    supervisor.guard(gatewayChild, [&] { gateway->viewChanged(view); });
+    supervisor.guard(gatewayChild, [&] { gateway->viewChanged(); });
     supervisor.guard(storageChild, [&] { storage->viewChanged(change); });
     if (view.leader != formerLeader && gateway && connected.contains(view.leader)) {
         supervisor.guard(gatewayChild, [&] { gateway->leaderReached(view.leader); });
--- a/persimmonlb/fleetnode/fleetparts.cpp
+++ b/persimmonlb/fleetnode/fleetparts.cpp
@@ -76,6 +76,7 @@
             .client = *client,
             .crashes = crashes,
             .send = [this](const HostId &to, PeerBody body) { return send(to, std::move(body)); },
+            .view = [this]() -> const FleetView & { return view; },
             .later
             = [this](std::function<void()> fn) { boost::asio::post(context, std::move(fn)); },
             .closeListener =
--- a/persimmonlb/fleetnode/fleetpeers.cpp
+++ b/persimmonlb/fleetnode/fleetpeers.cpp
@@ -1,7 +1,9 @@
 // The half of FleetNode::Parts that chooses whom this host reports to and is connected with.
 #include <algorithm>
 #include <chrono>
+#include <set>
 #include <utility>
+#include <vector>
 
 #include "persimmonlb/base/logline.h"
 #include "persimmonlb/fleet/fleetchange.h"
@@ -84,16 +86,8 @@
 {
     std::set<HostId> needed{parent.parent(), view.leader};
     if (storage) {
-        for (const FleetStore &store : view.stores) {
-            if (store.votes) {
-                needed.insert(store.host);
-            }
-        }
-        for (const HostId &member : storage->members()) {
-            needed.insert(hostOfMember(member));
-        }
-        for (const HostId &seed : seedHosts(settings)) {
-            needed.insert(seed);
+        for (const auto &hosts : {votersOf(view), storage->members(), seedHosts(settings)}) {
+            needed.insert(hosts.begin(), hosts.end());
         }
     }
     needed.erase(HostId());
@@ -173,9 +167,9 @@
     }
     const HostId &to = parent.parent();
     if (to != reportedTo) {
-        HostReport last = report;
-        last.leaving = true;
         if (!reportedTo.empty()) {
+            HostReport last = report;
+            last.leaving = true;
             send(reportedTo, last);
         }
         reportedTo = to;
--- a/persimmonlb/fleetnode/gatewayrole.cpp
+++ b/persimmonlb/fleetnode/gatewayrole.cpp
@@ -87,7 +87,8 @@
     if (!verdict.broken && !deps_.crashes.isSuspect(verdict.fingerprint)) {
         return;
     }
-    const bool told = !view_.leader.empty() && deps_.send(view_.leader, verdict);
+    const HostId &leader = deps_.view().leader;
+    const bool told = !leader.empty() && deps_.send(leader, verdict);
     if (!told) {
         LogLine(LogLevel::Warning, "run_verdict_not_told")
             .add("server", verdict.server.value)
@@ -117,21 +118,20 @@
 
 bool GatewayRole::listedByLeader() const
 {
-    return std::ranges::any_of(view_.entries, [this](const FleetEntry &entry) {
+    return std::ranges::any_of(deps_.view().entries, [this](const FleetEntry &entry) {
         return entry.host == deps_.settings.host && !entry.draining;
     });
 }
 
-void GatewayRole::viewChanged(const FleetView &view)
+void GatewayRole::viewChanged()
 {
-    view_ = view;
-    slots_.setView(view_);
+    slots_.setView(deps_.view());
 }
 
 void GatewayRole::routesChanged(std::shared_ptr<const RouteTable> routes)
 {
     routes_ = std::move(routes);
-    slots_.setView(view_);
+    slots_.setView(deps_.view());
 }
 
 void GatewayRole::receive(const HostId &from, const PeerBody &body)
@@ -180,14 +180,14 @@
 
 bool GatewayRole::isReady() const
 {
-    return routes_ != nullptr && view_.term > 0 && !isDraining();
+    return routes_ != nullptr && deps_.view().term > 0 && !isDraining();
 }
 
 std::vector<std::string> GatewayRole::addressesFor(const AvailabilityZone &zone) const
 {
     std::vector<std::string> near;
     std::vector<std::string> far;
-    for (const FleetEntry &entry : view_.entries) {
+    for (const FleetEntry &entry : deps_.view().entries) {
         const bool isSelf = entry.host == deps_.settings.host;
         if (entry.draining || (isSelf && isDraining())) {
             continue;
--- a/persimmonlb/fleetnode/gatewayrole.h
+++ b/persimmonlb/fleetnode/gatewayrole.h
@@ -29,6 +29,8 @@
     HttpClient &client;
     const CrashWatch &crashes;
     std::function<bool(const HostId &to, PeerBody body)> send;
+    /// The view of this host.
+    std::function<const FleetView &()> view;
     std::function<void(std::function<void()>)> later;
     /// Stops listening for callers, and says what is still open.
     std::function<void()> closeListener;
@@ -45,8 +47,8 @@
     GatewayRole(const GatewayRole &) = delete;
     GatewayRole &operator=(const GatewayRole &) = delete;
 
-    /// Takes a view that is newer than the one held.
-    void viewChanged(const FleetView &view);
+    /// The view of this host is another one.
+    void viewChanged();
     void routesChanged(std::shared_ptr<const RouteTable> routes);
     void receive(const HostId &from, const PeerBody &body);
     void hostLost(const HostId &host);
@@ -76,7 +78,6 @@
 
     GatewayRoleDeps deps_;
     std::shared_ptr<const RouteTable> routes_;
-    FleetView view_;
     SlotClient slots_;
     RelayService relay_;
     Drain drain_;
--- a/persimmonlb/fleetnode/storageleading.cpp
+++ b/persimmonlb/fleetnode/storageleading.cpp
@@ -19,7 +19,7 @@
 /// Hosts that connected after the last change of the suspects learn of them within this.
 constexpr Milliseconds crashesInterval{1000};
 /// Changes of the view that come within this travel together, unless a server leaves.
-constexpr Milliseconds gatherTime{150};
+constexpr Milliseconds viewInterval{150};
 
 /// Versions of the routes that follow each other within this are not all sent: a text may be
 /// hundreds of kilobytes, and goes to every host. Well below the time in which one must be in
@@ -215,7 +215,7 @@
     }
     publishedRegistry_ = registry_.version();
     publishedVoters_ = std::move(voters);
-    nextPublish_ = deps_.clock.monotonic() + gatherTime;
+    nextPublish_ = deps_.clock.monotonic() + viewInterval;
     refreshBroker();
     std::set<ServerId> usable;
     for (const FleetServer &server : registry_.servers()) {
--- a/persimmonlb/fleetnode/storagerole.cpp
+++ b/persimmonlb/fleetnode/storagerole.cpp
@@ -16,7 +16,7 @@
 constexpr std::uint64_t snapshotEntries = 20000; ///< Some minutes of a busy group.
 constexpr std::size_t mostJobsShown = 200; ///< To operators.
 /// Entry hosts that come and go within this are told to the leader together.
-constexpr Milliseconds gatherTime{100};
+constexpr Milliseconds attachmentsInterval{100};
 constexpr Milliseconds entryLease{5000}; ///< Of hosts that use sheets; unused with routes.
 
 /// One zone apart, hosts hear each other within some milliseconds; a host whose processor is
@@ -409,7 +409,7 @@
     if (!attachments_.hasNews() || (now < nextAttachments_ && !attachments_.isUrgent())) {
         return;
     }
-    nextAttachments_ = now + gatherTime;
+    nextAttachments_ = now + attachmentsInterval;
     if (leads_) {
         registry_.attach(deps_.settings.host, attachments_.takeNews());
         return;
--- a/persimmonlb/fleettree/viewfeed_test.cpp
+++ b/persimmonlb/fleettree/viewfeed_test.cpp
@@ -64,6 +64,14 @@
         }
     }
 
+    /// Grows, and every host follows the first view.
+    void settle(int parents, int children)
+    {
+        grow(parents, children);
+        publish();
+        pass(Milliseconds(1200));
+    }
+
     void send(const std::vector<HostId> &to, const PeerBody &body)
     {
         const std::size_t size = encodeMessage(PeerMessage{defaultGroup, body, {}, {}}).size();
@@ -173,9 +181,7 @@
 BOOST_AUTO_TEST_CASE(EachChangeCrossesEachConnectionOnceAndNothingIsSentAtRest)
 {
     Tree tree;
-    tree.grow(10, 5);
-    tree.publish();
-    tree.pass(Milliseconds(1200));
+    tree.settle(10, 5);
     BOOST_TEST(tree.behind() == 0);
     tree.messages = 0;
     tree.publish();
@@ -204,9 +210,7 @@
 BOOST_AUTO_TEST_CASE(AHostThatMissedAChangeAsksForTheWholeView)
 {
     Tree tree;
-    tree.grow(3, 3);
-    tree.publish();
-    tree.pass(Milliseconds(1200));
+    tree.settle(3, 3);
     Tree::Node &parent = tree.nodes.at(HostId{"p1"});
     parent.cutOff = true;
     tree.publish();
@@ -250,9 +254,7 @@
 BOOST_AUTO_TEST_CASE(ANewLeaderGoesOnFromTheViewThatItHolds)
 {
     Tree tree;
-    tree.grow(4, 4);
-    tree.publish(1);
-    tree.pass(Milliseconds(1200));
+    tree.settle(4, 4);
     tree.messages = 0;
     tree.publish(2);
     BOOST_TEST(tree.behind() == 0);
@@ -262,9 +264,7 @@
 BOOST_AUTO_TEST_CASE(AHostThatMovesGetsWhatItMissedFromItsNextParent)
 {
     Tree tree;
-    tree.grow(3, 2);
-    tree.publish();
-    tree.pass(Milliseconds(1200));
+    tree.settle(3, 2);
     tree.nodes.at(HostId{"p0"}).cutOff = true;
     tree.publish();
     BOOST_TEST(tree.behind() == 3);
@@ -277,9 +277,7 @@
 BOOST_AUTO_TEST_CASE(RoutesReachEveryHostAndAreSentAgainToOneThatLostThem)
 {
     Tree tree;
-    tree.grow(3, 3);
-    tree.publish();
-    tree.pass(Milliseconds(1200));
+    tree.settle(3, 3);
     tree.nodes.at(HostId{"p2c1"}).cutOff = true;
     const RoutesPush push{.version = 7, .text = "routes"};
     tree.nodes.at(HostId{"leader"}).routesVersion = 7;
--- /dev/null
+++ b/persimmonlb/slots/slotbatch.cpp
@@ -0,0 +1,73 @@
+// The half of SlotBroker that gives slots to batch runs.
+#include <algorithm>
+#include <cmath>
+
+#include "persimmonlb/slots/slotbroker.h"
+
+namespace persimmonlb
+{
+
+std::optional<ServerId> SlotBroker::takeForBatch(const ServiceName &service, std::uint64_t tokens,
+                                                 bool urgent)
+{
+    if (roomForBatch(service, urgent) == 0) {
+        return std::nullopt;
+    }
+    SlotRequest request;
+    request.service = service;
+    request.availabilityZone = options_.availabilityZone;
+    request.tokens = tokens;
+    Server *server = bestFor(request);
+    if (server == nullptr) {
+        return std::nullopt;
+    }
+    ++server->batch;
+    notePeak(*server);
+    server->tokens += tokens;
+    return server->info.id;
+}
+
+std::uint32_t SlotBroker::roomForBatch(const ServiceName &service, bool urgent) const
+{
+    if (waiting(service) > 0) {
+        return 0;
+    }
+    const std::uint32_t free = freeSlots(service);
+    if (urgent) {
+        return free;
+    }
+    const MonotonicTime now = clock_.monotonic();
+    std::uint32_t slots = 0;
+    std::uint32_t foreign = 0;
+    for (const Server *server : serversOf(service)) {
+        slots += slotsOf(*server);
+        foreign += server->capacity.stopsRuns ? foreignOf(*server, now) : 0;
+    }
+    const auto reserve = static_cast<std::uint32_t>(std::ceil(options_.batchReserve * slots));
+    // What the leader before left running is stopped by moving it, and a move needs room.
+    return foreign > 0 || free <= reserve ? 0 : free - reserve;
+}
+
+void SlotBroker::releaseBatch(const BatchRunSlot &run)
+{
+    const auto found = servers_.find(run.server);
+    if (found == servers_.end()) {
+        return;
+    }
+    notePeak(found->second);
+    found->second.batch -= std::min(found->second.batch, 1U);
+    found->second.tokens -= std::min(found->second.tokens, run.tokens);
+}
+
+void SlotBroker::batchEnded(const BatchRunSlot &run, SlotOutcome outcome)
+{
+    const auto found = servers_.find(run.server);
+    if (found == servers_.end()) {
+        return;
+    }
+    releaseBatch(run);
+    noteOutcome(found->second, outcome);
+    serveQueue(found->second.info.service);
+}
+
+} // namespace persimmonlb
--- a/persimmonlb/slots/slotbroker.cpp
+++ b/persimmonlb/slots/slotbroker.cpp
@@ -1,7 +1,6 @@
 #include "persimmonlb/slots/slotbroker.h"
 
 #include <algorithm>
-#include <cmath>
 #include <iterator>
 #include <utility>
 
@@ -428,71 +427,6 @@
     }
 }
 
-std::optional<ServerId> SlotBroker::takeForBatch(const ServiceName &service, std::uint64_t tokens,
-                                                 bool urgent)
-{
-    if (roomForBatch(service, urgent) == 0) {
-        return std::nullopt;
-    }
-    SlotRequest request;
-    request.service = service;
-    request.availabilityZone = options_.availabilityZone;
-    request.tokens = tokens;
-    Server *server = bestFor(request);
-    if (server == nullptr) {
-        return std::nullopt;
-    }
-    ++server->batch;
-    notePeak(*server);
-    server->tokens += tokens;
-    return server->info.id;
-}
-
-std::uint32_t SlotBroker::roomForBatch(const ServiceName &service, bool urgent) const
-{
-    const auto known = services_.find(service);
-    if (known == services_.end() || !known->second.queue.empty()) {
-        return 0;
-    }
-    const MonotonicTime now = clock_.monotonic();
-    std::uint32_t slots = 0;
-    std::uint32_t free = 0;
-    std::uint32_t foreign = 0;
-    for (const Server *server : known->second.servers) {
-        slots += slotsOf(*server);
-        free += takes(*server, 0, now) ? slotsOf(*server) - takenOf(*server, now) : 0;
-        foreign += server->capacity.stopsRuns ? foreignOf(*server, now) : 0;
-    }
-    if (urgent) {
-        return free;
-    }
-    const auto reserve = static_cast<std::uint32_t>(std::ceil(options_.batchReserve * slots));
-    // What the leader before left running is stopped by moving it, and a move needs room.
-    return foreign > 0 || free <= reserve ? 0 : free - reserve;
-}
-
-void SlotBroker::releaseBatch(const BatchRunSlot &run)
-{
-    const auto found = servers_.find(run.server);
-    if (found == servers_.end()) {
-        return;
-    }
-    notePeak(found->second);
-    found->second.batch -= std::min(found->second.batch, 1U);
-    found->second.tokens -= std::min(found->second.tokens, run.tokens);
-}
-
-void SlotBroker::batchEnded(const BatchRunSlot &run, SlotOutcome outcome)
-{
-    const auto found = servers_.find(run.server);
-    if (found == servers_.end()) {
-        return;
-    }
-    releaseBatch(run);
-    noteOutcome(found->second, outcome);
-    serveQueue(found->second.info.service);
-}
-
 std::string SlotBroker::addressOf(const ServerId &server) const
 {
     const auto found = servers_.find(server);
--- a/persimmonlb/slots/slotbroker.h
+++ b/persimmonlb/slots/slotbroker.h
@@ -177,6 +177,8 @@
     [[nodiscard]] static std::uint32_t takenOf(const Server &server, MonotonicTime now);
     [[nodiscard]] static double costOf(const Server &server, const SlotRequest &request,
                                        double usualHoldMs, MonotonicTime now);
+    /// Empty for a service without servers.
+    [[nodiscard]] const std::vector<Server *> &serversOf(const ServiceName &service) const;
     [[nodiscard]] Server *bestFor(const SlotRequest &request);
     /// Of servers that neither drain nor rest, whether taken or free.
     [[nodiscard]] std::uint32_t usableSlots(const ServiceName &service) const;
--- a/persimmonlb/slots/slotchoice.cpp
+++ b/persimmonlb/slots/slotchoice.cpp
@@ -80,23 +80,28 @@
     return cost;
 }
 
+const std::vector<SlotBroker::Server *> &SlotBroker::serversOf(const ServiceName &service) const
+{
+    static const std::vector<Server *> none;
+    const auto known = services_.find(service);
+    return known == services_.end() ? none : known->second.servers;
+}
+
 SlotBroker::Server *SlotBroker::bestFor(const SlotRequest &request)
 {
     Server *best = nullptr;
     double lowest = 0;
     std::uint64_t equals = 0;
-    const auto known = services_.find(request.service);
-    if (known == services_.end()) {
-        return nullptr;
-    }
+    const auto service = services_.find(request.service);
+    const double usualHoldMs = service == services_.end() ? 0 : service->second.holdMs;
     const MonotonicTime now = clock_.monotonic();
-    for (Server *candidate : known->second.servers) {
+    for (Server *candidate : serversOf(request.service)) {
         Server &server = *candidate;
         if (!takes(server, request.tokens, now)
             || std::ranges::find(request.excluded, server.info.id) != request.excluded.end()) {
             continue;
         }
-        const double cost = costOf(server, request, known->second.holdMs, now);
+        const double cost = costOf(server, request, usualHoldMs, now);
         if (best != nullptr && cost > lowest) {
             continue;
         }
@@ -123,13 +128,9 @@
 
 std::uint32_t SlotBroker::usableSlots(const ServiceName &service) const
 {
-    const auto known = services_.find(service);
-    if (known == services_.end()) {
-        return 0;
-    }
     const MonotonicTime now = clock_.monotonic();
     std::uint32_t slots = 0;
-    for (const Server *server : known->second.servers) {
+    for (const Server *server : serversOf(service)) {
         if (!server->info.draining && now >= server->restsUntil) {
             slots += slotsOf(*server);
         }
@@ -139,13 +140,9 @@
 
 std::uint32_t SlotBroker::freeSlots(const ServiceName &service) const
 {
-    const auto known = services_.find(service);
-    if (known == services_.end()) {
-        return 0;
-    }
     const MonotonicTime now = clock_.monotonic();
     std::uint32_t free = 0;
-    for (const Server *server : known->second.servers) {
+    for (const Server *server : serversOf(service)) {
         free += takes(*server, 0, now) ? slotsOf(*server) - takenOf(*server, now) : 0;
     }
     return free;
