A disk that refuses writes ends the store, not the process, and is not taken for a corrupt one

Cause: after a failed write RocksDB went on with the file (its sync asserts that the file had been synced before), the store kept using the open database, and an open on a full disk was reported as a corrupt store, so that the member gave up its data. A full disk while the identity was written ended the process with code 1. Ruled out: a flag alone (a sync on the other thread may run between the failure and the flag).

--- a/persimmonlb/fleetnode/memberidentity.cpp
+++ b/persimmonlb/fleetnode/memberidentity.cpp
@@ -24,10 +24,17 @@
 constexpr mode_t fileMode = 0600;
 constexpr int hexadecimal = 16;
 
-boost::leaf::error_id unusable(const std::string &path)
+/// Errors that a disk shows in a bad moment, against those of a wrong path or of missing rights.
+bool isDiskTrouble(int error)
 {
-    return fail(ResultCode::DataFolderUnusable,
-                path + ": " + std::generic_category().message(errno));
+    return error == ENOSPC || error == EIO || error == EDQUOT;
+}
+
+boost::leaf::error_id notWritten(const std::string &path, int error)
+{
+    return fail(isDiskTrouble(error) ? ResultCode::StoreUnavailable
+                                     : ResultCode::DataFolderUnusable,
+                path + ": " + std::generic_category().message(error));
 }
 
 bool syncPath(const std::string &path, int flags)
@@ -37,7 +44,9 @@
         return false;
     }
     const bool synced = ::fsync(descriptor) == 0;
+    const int error = errno;
     ::close(descriptor);
+    errno = error;
     return synced;
 }
 
@@ -47,16 +56,21 @@
     const int descriptor
         = ::open(fresh.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, fileMode);
     if (descriptor < 0) {
-        return unusable(fresh);
+        return notWritten(fresh, errno);
+    }
+    const ssize_t written = ::write(descriptor, text.data(), text.size());
+    // A short write is a disk that is nearly full; it sets no error.
+    int error = written < 0 ? errno : ENOSPC;
+    if (written == static_cast<ssize_t>(text.size())) {
+        error = ::fsync(descriptor) == 0 ? 0 : errno;
     }
-    const bool written
-        = ::write(descriptor, text.data(), text.size()) == static_cast<ssize_t>(text.size())
-        && ::fsync(descriptor) == 0;
     ::close(descriptor);
     const std::string path = folder + "/" + identityFile;
-    if (!written || ::rename(fresh.c_str(), path.c_str()) != 0
-        || !syncPath(folder, O_RDONLY | O_DIRECTORY)) {
-        return unusable(path);
+    if (error != 0) {
+        return notWritten(path, error);
+    }
+    if (::rename(fresh.c_str(), path.c_str()) != 0 || !syncPath(folder, O_RDONLY | O_DIRECTORY)) {
+        return notWritten(path, errno);
     }
     return {};
 }
--- a/persimmonlb/fleetnode/memberidentity.h
+++ b/persimmonlb/fleetnode/memberidentity.h
@@ -26,7 +26,7 @@
 Result<MemberIdentity> openIdentity(const std::string &dataFolder, const HostId &host, bool isFirst,
                                     const RandomSource &random);
 
-/// Gives the store up and makes a new identity. Errors: DataFolderUnusable.
+/// Gives the store up and makes a new identity. Errors: as openIdentity().
 Result<MemberIdentity> renewIdentity(const std::string &dataFolder, const HostId &host,
                                      const RandomSource &random);
 
--- a/persimmonlb/fleetnode/storagerole.cpp
+++ b/persimmonlb/fleetnode/storagerole.cpp
@@ -117,17 +117,29 @@
 
 // ---- the member ---------------------------------------------------------------------------------
 
-Result<void> StorageRole::start()
+Result<void> StorageRole::loadIdentity()
 {
+    if (!identity_.member.empty()) {
+        return {};
+    }
     const std::vector<HostId> seeds = seedHosts(deps_.settings);
     const bool isSeed = std::ranges::find(seeds, deps_.settings.host) != seeds.end();
     BOOST_LEAF_ASSIGN(identity_,
                       openIdentity(deps_.settings.dataFolder, deps_.settings.host,
                                    deps_.settings.mayForm && isSeed, deps_.random));
+    return {};
+}
+
+Result<void> StorageRole::start()
+{
+    const Outcome<Done> loaded = capture([this] { return loadIdentity(); });
+    if (!loaded.ok() && loaded.error().code != ResultCode::StoreUnavailable) {
+        return fail(loaded.error().code, loaded.error().message);
+    }
     return startControl();
 }
 
-Result<void> StorageRole::startControl()
+void StorageRole::makeControl()
 {
     ControlRoleDeps deps;
     deps.member = identity_.member;
@@ -149,6 +161,17 @@
         leadershipChanged(leads);
     };
     control_ = std::make_unique<ControlRole>(std::move(deps));
+}
+
+Result<void> StorageRole::startControl()
+{
+    const Outcome<Done> loaded = capture([this] { return loadIdentity(); });
+    makeControl();
+    if (!loaded.ok()) {
+        LogLine(LogLevel::Error, "identity_not_loaded").add("why", loaded.error().message).write();
+        restartControl(restartDelay);
+        return {};
+    }
     const Outcome<Done> started = capture([this] { return control_->start(); });
     running_ = started.ok();
     formationTried_ = false;
--- a/persimmonlb/fleetnode/storagerole.h
+++ b/persimmonlb/fleetnode/storagerole.h
@@ -113,6 +113,9 @@
         MonotonicTime deadline;
     };
 
+    /// Errors: as openIdentity().
+    Result<void> loadIdentity();
+    void makeControl();
     Result<void> startControl();
     void restartControl(Milliseconds delay);
     void giveUpStore();
--- a/persimmonlb/store/database.cpp
+++ b/persimmonlb/store/database.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 #include <vector>
 
+#include <rocksdb/env.h>
 #include <rocksdb/options.h>
 
 namespace persimmonlb::internal
@@ -18,9 +19,10 @@
 constexpr std::size_t stateWriteBufferBytes = 32ULL * 1024 * 1024;
 constexpr int backgroundJobs = 2;
 
-rocksdb::DBOptions databaseOptions()
+rocksdb::DBOptions databaseOptions(rocksdb::Env *environment)
 {
     rocksdb::DBOptions options;
+    options.env = environment;
     options.create_if_missing = true;
     options.create_missing_column_families = true;
     options.paranoid_checks = true;
@@ -71,24 +73,34 @@
 
 } // namespace
 
-Result<std::unique_ptr<Database>> Database::open(const std::string &folder)
+Result<std::unique_ptr<Database>> Database::open(const std::string &folder,
+                                                 const std::shared_ptr<rocksdb::FileSystem> &files)
 {
     BOOST_LEAF_AUTO(existed, prepareFolder(folder));
     BOOST_LEAF_AUTO(mark, SyncMark::open(folder, existed));
     if (!existed && mark.opened() > 0) {
         return fail(ResultCode::CorruptStore, folder + "/db/CURRENT is missing");
     }
+    auto failure = std::make_shared<WriteFailure>();
+    Files guarded{.failure = failure,
+                  .environment
+                  = rocksdb::NewCompositeEnv(std::make_shared<GuardedFiles>(files, failure))};
     rocksdb::DB *opened = nullptr;
     std::vector<rocksdb::ColumnFamilyHandle *> handles;
-    const rocksdb::Status status = rocksdb::DB::Open(databaseOptions(), folder + "/db",
-                                                     familyDescriptors(), &handles, &opened);
+    const rocksdb::Status status
+        = rocksdb::DB::Open(databaseOptions(guarded.environment.get()), folder + "/db",
+                            familyDescriptors(), &handles, &opened);
     if (!status.ok()) {
-        return failOpen(folder, existed, status);
+        // A disk that refuses writes says nothing about what it holds.
+        return failure->happened()
+            ? fail(ResultCode::StoreUnavailable, folder + ": " + failure->reason())
+            : failOpen(folder, existed, status);
     }
     std::array<rocksdb::ColumnFamilyHandle *, familyCount> families{};
     std::ranges::copy(handles, families.begin());
-    std::unique_ptr<Database> database(
-        new Database(std::unique_ptr<rocksdb::DB>(opened), families, std::move(mark)));
+    std::unique_ptr<Database> database(new Database(
+        std::move(guarded), std::unique_ptr<rocksdb::DB>(opened), families, std::move(mark)));
+    BOOST_LEAF_CHECK(database->checkWrites());
     if (database->sequence() < database->mark_.opened()) {
         return fail(ResultCode::CorruptStore,
                     folder + "/db: the write-ahead log ends at write "
@@ -102,9 +114,10 @@
     return database;
 }
 
-Database::Database(std::unique_ptr<rocksdb::DB> database,
+Database::Database(Files files, std::unique_ptr<rocksdb::DB> database,
                    std::array<rocksdb::ColumnFamilyHandle *, familyCount> families, SyncMark mark)
-    : database_(std::move(database))
+    : files_(std::move(files))
+    , database_(std::move(database))
     , families_(families)
     , mark_(std::move(mark))
 {
@@ -136,13 +149,22 @@
     return std::optional(std::move(value));
 }
 
+Result<void> Database::checkWrites() const
+{
+    if (files_.failure->happened()) {
+        return fail(ResultCode::StoreUnavailable, files_.failure->reason());
+    }
+    return {};
+}
+
 Result<void> Database::write(rocksdb::WriteBatch &batch)
 {
+    BOOST_LEAF_CHECK(checkWrites());
     const rocksdb::Status status = database_->Write(rocksdb::WriteOptions(), &batch);
     if (!status.ok()) {
-        return fail(ResultCode::StoreUnavailable, status.ToString());
+        files_.failure->note(status.ToString());
     }
-    return {};
+    return checkWrites();
 }
 
 std::uint64_t Database::sequence() const
@@ -152,11 +174,17 @@
 
 Result<void> Database::sync(std::uint64_t upTo)
 {
+    BOOST_LEAF_CHECK(checkWrites());
     const rocksdb::Status status = database_->SyncWAL();
     if (!status.ok()) {
-        return fail(ResultCode::StoreUnavailable, status.ToString());
+        files_.failure->note(status.ToString());
+    }
+    BOOST_LEAF_CHECK(checkWrites());
+    const auto marked = capture([&] { return mark_.write(upTo); });
+    if (!marked.ok()) {
+        files_.failure->note(marked.error().message);
     }
-    return mark_.write(upTo);
+    return checkWrites();
 }
 
 bool Database::wasUsed() const
--- a/persimmonlb/store/diskstore.cpp
+++ b/persimmonlb/store/diskstore.cpp
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include <rocksdb/file_system.h>
+
 #include "persimmonlb/base/clock.h"
 #include "persimmonlb/store/internal/database.h"
 #include "persimmonlb/store/internal/disklog.h"
@@ -234,7 +236,9 @@
 
 Result<std::unique_ptr<DiskStore>> DiskStore::open(DiskStoreOptions options)
 {
-    BOOST_LEAF_AUTO(database, Database::open(options.folder));
+    BOOST_LEAF_AUTO(database,
+                    Database::open(options.folder,
+                                   options.files ? options.files : rocksdb::FileSystem::Default()));
     auto implementation = std::make_unique<Implementation>(std::move(database), std::move(options));
     BOOST_LEAF_CHECK(implementation->load());
     return std::unique_ptr<DiskStore>(new DiskStore(std::move(implementation)));
--- a/persimmonlb/store/diskstore.h
+++ b/persimmonlb/store/diskstore.h
@@ -9,6 +9,11 @@
 #include "persimmonlb/store/logstore.h"
 #include "persimmonlb/store/statestore.h"
 
+namespace rocksdb
+{
+class FileSystem;
+}
+
 namespace persimmonlb
 {
 
@@ -17,6 +22,8 @@
     HostId host; ///< A folder first opened by another host is refused.
     /// Runs a function on the decision thread; called from the sync thread.
     std::function<void(std::function<void()>)> post;
+    /// What the database lies on; null: the files of this host.
+    std::shared_ptr<rocksdb::FileSystem> files = nullptr;
 };
 
 /// Durable log and keyed state of one member, on RocksDB in one folder.
@@ -24,6 +31,9 @@
 /// At open every entry of the log is read: its checksum must hold, and indexes must follow each
 /// other without a gap. A store that fails a check is not served from.
 ///
+/// A write or sync that fails, in a call or in the background, ends the store: every later one
+/// fails with StoreUnavailable, and nothing more reaches the disk. Open it again.
+///
 /// Example:
 ///   auto opened = DiskStore::open({.folder = "/var/lib/persimmonlb", .host = self, .post = post});
 ///   if (!opened) { return opened.error(); }
@@ -34,7 +44,7 @@
 {
 public:
     /// Errors: DataFolderUnusable (path, rights, in use, or of another host), CorruptStore with the
-    /// name of the file or key.
+    /// name of the file or key, StoreUnavailable when the disk refuses writes.
     static Result<std::unique_ptr<DiskStore>> open(DiskStoreOptions options);
 
     /// Waits for a running sync. Callbacks that were not called yet are dropped.
--- a/persimmonlb/store/diskstore_test.cpp
+++ b/persimmonlb/store/diskstore_test.cpp
@@ -1,3 +1,4 @@
+#include <atomic>
 #include <condition_variable>
 #include <deque>
 #include <filesystem>
@@ -7,6 +8,7 @@
 #include <boost/test/data/monomorphic.hpp>
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
+#include <rocksdb/file_system.h>
 
 #include "persimmonlb/store/diskstore.h"
 #include "persimmonlb/store/internal/crc32c.h"
@@ -49,6 +51,58 @@
     std::deque<std::function<void()>> tasks_;
 };
 
+/// A file of a disk that can be full.
+class FullDiskFile : public rocksdb::FSWritableFileOwnerWrapper
+{
+public:
+    FullDiskFile(std::unique_ptr<rocksdb::FSWritableFile> file, const std::atomic<bool> &full)
+        : FSWritableFileOwnerWrapper(std::move(file))
+        , full_(full)
+    {
+    }
+    rocksdb::IOStatus Append(const rocksdb::Slice &data, const rocksdb::IOOptions &options,
+                             rocksdb::IODebugContext *debug) override
+    {
+        return full_ ? rocksdb::IOStatus::NoSpace("disk full")
+                     : target()->Append(data, options, debug);
+    }
+    rocksdb::IOStatus Append(const rocksdb::Slice &data, const rocksdb::IOOptions &options,
+                             const rocksdb::DataVerificationInfo & /*info*/,
+                             rocksdb::IODebugContext *debug) override
+    {
+        return Append(data, options, debug);
+    }
+
+private:
+    const std::atomic<bool> &full_;
+};
+
+/// A disk that refuses new bytes while it is full.
+class FullDisk : public rocksdb::FileSystemWrapper
+{
+public:
+    FullDisk()
+        : FileSystemWrapper(rocksdb::FileSystem::Default())
+    {
+    }
+    [[nodiscard]] const char *Name() const override
+    {
+        return "FullDisk";
+    }
+    rocksdb::IOStatus NewWritableFile(const std::string &name, const rocksdb::FileOptions &options,
+                                      std::unique_ptr<rocksdb::FSWritableFile> *file,
+                                      rocksdb::IODebugContext *debug) override
+    {
+        rocksdb::IOStatus status = target()->NewWritableFile(name, options, file, debug);
+        if (status.ok()) {
+            *file = std::make_unique<FullDiskFile>(std::move(*file), full);
+        }
+        return status;
+    }
+
+    std::atomic<bool> full = false;
+};
+
 LogEntry entry(std::uint64_t index)
 {
     return {.index = index,
@@ -71,11 +125,11 @@
     Outcome<std::unique_ptr<DiskStore>> open(const fs::path &folder, const HostId &host = self)
     {
         return capture([&] {
-            return DiskStore::open({.folder = folder.string(),
-                                    .host = host,
-                                    .post = [this](std::function<void()> task) {
-                                        queue.post(std::move(task));
-                                    }});
+            return DiskStore::open(
+                {.folder = folder.string(),
+                 .host = host,
+                 .post = [this](std::function<void()> task) { queue.post(std::move(task)); },
+                 .files = disk});
         });
     }
 
@@ -94,6 +148,14 @@
         BOOST_TEST_REQUIRE(done);
     }
 
+    bool syncs(DiskStore &store)
+    {
+        bool succeeded = false;
+        store.logStore().sync([&](const Outcome<Done> &outcome) { succeeded = outcome.ok(); });
+        queue.runOne();
+        return succeeded;
+    }
+
     static void append(DiskStore &store, std::uint64_t first, std::uint64_t last)
     {
         const HardState hardState{.term = entry(last).term, .vote = {}};
@@ -152,10 +214,12 @@
 
     fs::path path;
     PostQueue queue;
+    std::shared_ptr<FullDisk> disk = std::make_shared<FullDisk>();
     int copies = 0;
 };
 
-ResultCode codeOf(const Outcome<std::unique_ptr<DiskStore>> &outcome)
+template <typename Value>
+ResultCode codeOf(const Outcome<Value> &outcome)
 {
     return outcome.ok() ? ResultCode::Ok : outcome.error().code;
 }
@@ -304,11 +368,72 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(aFullDiskEndsTheStoreAndTheNextOneHasAllThatWasSynced)
+{
+    auto store = openWell(main());
+    append(*store, 1, 20);
+    sync(*store);
+    disk->full = true;
+    const auto appended = capture([&] { return store->logStore().append({entry(21)}); });
+    BOOST_TEST((codeOf(appended) == ResultCode::StoreUnavailable));
+    disk->full = false;
+    // With room again the store still refuses: what it holds is no longer what is on disk.
+    BOOST_TEST(!capture([&] { return store->logStore().append({entry(21)}); }).ok());
+    BOOST_TEST(!syncs(*store));
+    store.reset();
+    const auto reopened = openWell(main());
+    BOOST_TEST(reopened->logStore().lastIndex() == 20U);
+    append(*reopened, 21, 30);
+    sync(*reopened);
+}
+
+BOOST_AUTO_TEST_CASE(aStoreWhoseFirstWriteIsRefusedCanBeSyncedAndClosed)
+{
+    fill();
+    for (int round = 0; round < 3; ++round) {
+        const auto store = openWell(main());
+        disk->full = true;
+        const HardState hardState{.term = 50, .vote = {}};
+        BOOST_TEST(!capture([&] { return store->logStore().setHardState(hardState); }).ok());
+        BOOST_TEST(!syncs(*store));
+        disk->full = false;
+    }
+}
+
+BOOST_AUTO_TEST_CASE(aFullDiskAtOpenIsNotTakenForACorruptStore)
+{
+    fill();
+    disk->full = true;
+    BOOST_TEST((codeOf(open(main())) == ResultCode::StoreUnavailable));
+    disk->full = false;
+    BOOST_TEST(openWell(main())->logStore().lastIndex() == 80U);
+}
+
+BOOST_AUTO_TEST_CASE(aFullDiskInAFlushOfTheDatabaseEndsTheStore)
+{
+    constexpr std::uint64_t valueBytes = 1024UL * 1024;
+    const auto store = openWell(main());
+    append(*store, 1, 1);
+    sync(*store);
+    disk->full = true;
+    // More than a write buffer: the database flushes while the disk is full.
+    bool refused = false;
+    for (int round = 0; round < 40 && !refused; ++round) {
+        const MutationList changes{
+            {.key = std::to_string(round), .value = std::string(valueBytes, 'v')}};
+        refused = !capture([&] { return store->stateStore().write(changes); }).ok();
+    }
+    BOOST_TEST(refused);
+    BOOST_TEST(!syncs(*store));
+}
+
 BOOST_AUTO_TEST_CASE(aMissingLogEntryIsDetectedAtStart)
 {
     fill();
     {
-        const auto database = capture([&] { return internal::Database::open(main().string()); });
+        const auto database = capture([&] {
+            return internal::Database::open(main().string(), rocksdb::FileSystem::Default());
+        });
         BOOST_TEST_REQUIRE(database.ok());
         rocksdb::WriteBatch batch;
         batch.Delete(database.value()->family(internal::Family::Log), internal::entryKey(50));
--- a/persimmonlb/store/internal/database.h
+++ b/persimmonlb/store/internal/database.h
@@ -12,6 +12,7 @@
 #include <rocksdb/write_batch.h>
 
 #include "persimmonlb/base/error.h"
+#include "persimmonlb/store/internal/guardedfiles.h"
 #include "persimmonlb/store/internal/syncmark.h"
 
 namespace persimmonlb::internal
@@ -32,11 +33,15 @@
 /// A write-ahead log that ends before what was synced is corruption; a torn tail of what was never
 /// synced is not: RocksDB recovers up to the first damaged record, and the sync mark tells whether
 /// that point lies before the last completed sync.
+///
+/// From the first write or sync that fails, in a call or in the background, every write and sync
+/// fails and the files stay as they are (see GuardedFiles): open the folder again.
 class Database
 {
 public:
-    /// Errors: DataFolderUnusable, CorruptStore.
-    static Result<std::unique_ptr<Database>> open(const std::string &folder);
+    /// Errors: DataFolderUnusable, CorruptStore, StoreUnavailable when the disk refuses writes.
+    static Result<std::unique_ptr<Database>>
+    open(const std::string &folder, const std::shared_ptr<rocksdb::FileSystem> &files);
     ~Database();
     Database(const Database &) = delete;
     Database &operator=(const Database &) = delete;
@@ -55,11 +60,21 @@
     [[nodiscard]] rocksdb::DB &rocks() const;
 
 private:
-    Database(std::unique_ptr<rocksdb::DB> database,
+    /// What the database writes with; outlives it.
+    struct Files {
+        std::shared_ptr<WriteFailure> failure;
+        std::unique_ptr<rocksdb::Env> environment;
+    };
+
+    Database(Files files, std::unique_ptr<rocksdb::DB> database,
              std::array<rocksdb::ColumnFamilyHandle *, familyCount> families, SyncMark mark);
 
+    /// Errors: StoreUnavailable when a write has failed before.
+    [[nodiscard]] Result<void> checkWrites() const;
+
+    Files files_;
     std::unique_ptr<rocksdb::DB> database_;
-    std::array<rocksdb::ColumnFamilyHandle *, familyCount> families_;
+    std::array<rocksdb::ColumnFamilyHandle *, familyCount> families_{};
     SyncMark mark_;
 };
 
