A group whose members all have just started elects without waiting for a lease

Change: a member that has heard of no leader since its start asks all members of the group each heartbeat; once every one has answered that it neither leads nor has heard of a leader, the one with the newest log, the first by name among equals, is elected. With a member missing the wait stays.

--- a/persimmonlb/agreement/core.cpp
+++ b/persimmonlb/agreement/core.cpp
@@ -83,6 +83,7 @@
         return;
     }
     leader = newLeader;
+    leaderHeard = true;
     leaderHeardAt = now();
     restartElectionTimer();
 }
--- a/persimmonlb/agreement/election.cpp
+++ b/persimmonlb/agreement/election.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "persimmonlb/base/logline.h"
+
 namespace persimmonlb::internal
 {
 
@@ -14,9 +16,84 @@
 
 void Election::tick()
 {
-    if (mayCampaign() && core_.now() >= core_.electionDeadline) {
+    if (!mayCampaign()) {
+        return;
+    }
+    if (core_.now() >= core_.electionDeadline) {
         campaign();
+        return;
+    }
+    if (core_.role() == Role::Follower && knowsOfNoLeader() && core_.now() >= nextQuestion_) {
+        nextQuestion_ = core_.now() + core_.options.timeouts.heartbeat;
+        askAfterStart();
+    }
+}
+
+bool Election::knowsOfNoLeader() const
+{
+    return !core_.leaderHeard && core_.role() != Role::Leader;
+}
+
+std::optional<std::set<HostId>> Election::membersToAsk() const
+{
+    const ConfigurationLog &configurations = core_.configurations();
+    const Configuration &latest = configurations.latest();
+    if (latest.replacement) {
+        return std::nullopt;
     }
+    std::set<HostId> asked;
+    const auto add = [&](const Configuration &configuration) {
+        for (const Member &member : configuration.members) {
+            if (member.voter && member.host != core_.options.self) {
+                asked.insert(member.host);
+            }
+        }
+    };
+    add(latest);
+    // A leader that removes itself leads until that is committed.
+    const std::uint64_t index = configurations.latestIndex();
+    if (index > core_.commitIndex && index > 0) {
+        add(configurations.at(index - 1));
+    }
+    return asked;
+}
+
+void Election::askAfterStart()
+{
+    const auto asked = membersToAsk();
+    if (!asked) {
+        return;
+    }
+    withoutLeader_.clear();
+    for (const HostId &member : *asked) {
+        core_.send(member,
+                   VoteRequest{.term = core_.term() + 1,
+                               .preVote = true,
+                               .afterStart = true,
+                               .lastLogIndex = core_.lastIndex(),
+                               .lastLogTerm = core_.lastTerm()});
+    }
+}
+
+void Election::countAfterStart(const HostId &from)
+{
+    withoutLeader_.insert(from);
+    const auto asked = membersToAsk();
+    if (!asked || !std::ranges::includes(withoutLeader_, *asked)) {
+        return;
+    }
+    core_.changeRole(RoleEvent::ElectionTimeout);
+    if (core_.role() == Role::PreCandidate) {
+        afterStart_ = true;
+        becomeCandidate();
+    }
+}
+
+bool Election::goesBefore(const HostId &candidate, const VoteRequest &request) const
+{
+    const auto own = std::pair(core_.lastTerm(), core_.lastIndex());
+    const auto theirs = std::pair(request.lastLogTerm, request.lastLogIndex);
+    return theirs > own || (theirs == own && candidate < core_.options.self);
 }
 
 bool Election::mayCampaign() const
@@ -37,6 +114,7 @@
         return;
     }
     granted_.clear();
+    afterStart_ = false;
     askForVotes(true);
     count(core_.options.self);
 }
@@ -46,6 +124,7 @@
     const VoteRequest request{
         .term = preVote ? core_.term() + 1 : core_.term(),
         .preVote = preVote,
+        .afterStart = afterStart_,
         .lastLogIndex = core_.lastIndex(),
         .lastLogTerm = core_.lastTerm(),
     };
@@ -74,7 +153,8 @@
 
 void Election::receive(const HostId &from, const VoteRequest &request)
 {
-    if (!core_.admitted() || core_.term() == 0 || withholdsVotes(from)) {
+    const bool needsNoWait = request.afterStart && knowsOfNoLeader();
+    if (!core_.admitted() || core_.term() == 0 || (!needsNoWait && withholdsVotes(from))) {
         return;
     }
     if (request.preVote) {
@@ -86,7 +166,8 @@
 
 void Election::answerPreVote(const HostId &from, const VoteRequest &request)
 {
-    const bool granted = request.term > core_.term() && isUpToDate(request);
+    const bool mayWin = request.afterStart ? goesBefore(from, request) : isUpToDate(request);
+    const bool granted = request.term > core_.term() && mayWin;
     core_.send(from,
                VoteReply{.term = granted ? request.term : core_.term(),
                          .preVote = true,
@@ -121,6 +202,11 @@
         }
         return;
     }
+    if (reply.preVote && core_.role() == Role::Follower && knowsOfNoLeader()
+        && reply.term == core_.term() + 1) {
+        countAfterStart(from);
+        return;
+    }
     const bool preVoteCounts
         = reply.preVote && core_.role() == Role::PreCandidate && reply.term == core_.term() + 1;
     const bool voteCounts
@@ -152,6 +238,11 @@
     core_.changeRole(RoleEvent::PreVoteWon);
     granted_.clear();
     core_.setHardState({.term = core_.term() + 1, .vote = core_.options.self});
+    LogLine(LogLevel::Info, "campaign")
+        .add("host", core_.options.self.value)
+        .add("term", static_cast<std::int64_t>(counterOf(core_.term())))
+        .add("after_start", afterStart_ ? "yes" : "no")
+        .write();
     core_.persist([this, term = core_.term()] {
         if (core_.term() != term || core_.role() != Role::Candidate) {
             return;
--- a/persimmonlb/wire/internal/messagefields.h
+++ b/persimmonlb/wire/internal/messagefields.h
@@ -22,6 +22,7 @@
 {
     archive.field("t", message.term);
     archive.field("p", message.preVote);
+    archive.field("s", message.afterStart);
     archive.field("i", message.lastLogIndex);
     archive.field("l", message.lastLogTerm);
 }
--- a/persimmonlb/wire/message.h
+++ b/persimmonlb/wire/message.h
@@ -35,6 +35,9 @@
 struct VoteRequest {
     std::uint64_t term = 0;
     bool preVote = false;
+    /// The sender has heard of no leader since it started. As a vote: every member has told it that
+    /// none leads.
+    bool afterStart = false;
     std::uint64_t lastLogIndex = 0;
     std::uint64_t lastLogTerm = 0;
 
--- a/persimmonlb/wire/message_test.cpp
+++ b/persimmonlb/wire/message_test.cpp
@@ -61,7 +61,11 @@
 std::vector<PeerMessage> everyKind()
 {
     std::vector<PeerBody> bodies = {
-        VoteRequest{.term = large, .preVote = true, .lastLogIndex = 2, .lastLogTerm = 3},
+        VoteRequest{.term = large,
+                    .preVote = true,
+                    .afterStart = true,
+                    .lastLogIndex = 2,
+                    .lastLogTerm = 3},
         VoteReply{.term = 1, .preVote = true, .granted = true},
         AppendRequest{.term = 1,
                       .previousIndex = 2,
