A server that says in an answer that it leaves gets no new work, from the first host that hears it on

An entry host keeps the start of the server from its own choice at once, gives back grants that cross the news, and tells the leader until the leader's view says the same; a leader takes it for draining whatever it announces, and so does the next leader. Ruled out: marking servers by id or address alone (a later start would stay unused).

--- a/persimmonlb/bulk/bulkrunner.cpp
+++ b/persimmonlb/bulk/bulkrunner.cpp
@@ -206,6 +206,7 @@
     Run &run = runs_[key];
     run.service = service;
     run.slot = {*server, tokens};
+    run.bornMs = broker_.bornOf(*server);
     run.dueAt = job->second.dueAt;
     run.startedAt = clock_.monotonic();
     run.progressAt = run.startedAt;
@@ -263,6 +264,9 @@
         if (run == nullptr) {
             return;
         }
+        if (hooks_.codec.saysLeaving(head)) {
+            hooks_.serverLeaves({run->slot.server, run->bornMs});
+        }
         const BulkItem *item = itemOf(key);
         if (item == nullptr) {
             return;
--- a/persimmonlb/bulk/bulkrunner.h
+++ b/persimmonlb/bulk/bulkrunner.h
@@ -68,6 +68,9 @@
     std::function<HttpRequest(const std::string &host, const BulkItemSpec &item)> itemRequest;
     RelayCodec codec;
     HttpSend send;
+    /// A server said in an answer that it leaves. It may be the one whose answer is being read: its
+    /// runs must not be ended within this call.
+    std::function<void(const ServerLeaving &leaving)> serverLeaves;
 };
 
 /// Runs the items of bulk jobs on slots that online requests leave.
@@ -126,6 +129,7 @@
         std::unique_ptr<HttpExchange> exchange;
         ServiceName service;
         BatchRunSlot slot;
+        std::uint64_t bornMs = 0; ///< Which start of the server.
         WallTime dueAt;
         AnswerClass answerClass = AnswerClass::Foreign;
         std::uint16_t status = 0;
--- a/persimmonlb/bulk/bulkrunner_test.cpp
+++ b/persimmonlb/bulk/bulkrunner_test.cpp
@@ -142,17 +142,19 @@
                     request.target = item.id;
                     return request;
                 },
-            .codec = {.encode =
-                          [this](const HttpRequest &request, const RelayAttempt &attempt) {
-                              behind = attempt.lastEventId;
-                              return request;
-                          },
-                      .classify =
-                          [](const std::string &, const HttpResponseHead &head) {
-                              return head.status == 200 ? AnswerClass::Success
-                                                        : AnswerClass::Failure;
-                          },
-                      .refusal = nullptr},
+            .codec
+            = {.encode =
+                   [this](const HttpRequest &request, const RelayAttempt &attempt) {
+                       behind = attempt.lastEventId;
+                       return request;
+                   },
+               .classify =
+                   [](const std::string &, const HttpResponseHead &head) {
+                       return head.status == 200 ? AnswerClass::Success : AnswerClass::Failure;
+                   },
+               .saysLeaving
+               = [](const HttpResponseHead &head) { return head.headers.contains("Leaving"); },
+               .refusal = nullptr},
             .send = [this](const std::string &, HttpRequest request, Milliseconds,
                            HttpExchangeHooks hooks) -> std::unique_ptr<HttpExchange> {
                 auto made = std::make_shared<Sending>();
@@ -161,7 +163,12 @@
                 made->hooks = std::move(hooks);
                 sendings.push_back(made);
                 return std::make_unique<FakeExchange>([made] { made->closed = true; });
-            }}};
+            },
+            .serverLeaves =
+                [this](const ServerLeaving &told) {
+                    leaving.push_back(told);
+                }}};
+    std::vector<ServerLeaving> leaving;
     std::optional<std::uint64_t> behind;
 };
 
@@ -182,6 +189,20 @@
     BOOST_TEST(bench.sendings.size() == 3U);
 }
 
+BOOST_AUTO_TEST_CASE(TheServerOfARunMayTellThatItLeaves)
+{
+    for (const std::uint16_t status : {200, 500}) {
+        Bench bench;
+        bench.accept("a", 1);
+        bench.pass(20);
+        HttpResponseHead head{status, {}};
+        head.headers.fields.push_back({"Leaving", "1"});
+        bench.sending(0).hooks.head(head);
+        BOOST_REQUIRE_EQUAL(bench.leaving.size(), 1U);
+        BOOST_TEST(bench.leaving[0].server.value == "s1");
+    }
+}
+
 BOOST_AUTO_TEST_CASE(AnItemThatGivesWayGoesOnBehindItsLastEvent)
 {
     Bench bench;
--- a/persimmonlb/fleet/fleetregistry.cpp
+++ b/persimmonlb/fleet/fleetregistry.cpp
@@ -37,8 +37,24 @@
 {
 }
 
-bool FleetRegistry::announce(const FleetServer &server)
+bool FleetRegistry::serverLeaves(const ServerLeaving &leaving)
 {
+    const bool isNew = leaving_.note(leaving.server, leaving.bornMs);
+    const auto known = servers_.find(leaving.server);
+    if (known == servers_.end() || known->second.info.bornMs != leaving.bornMs
+        || known->second.info.draining) {
+        return isNew;
+    }
+    known->second.info.draining = true;
+    ++version_;
+    logServer("server_says_it_leaves", known->second.info);
+    return true;
+}
+
+bool FleetRegistry::announce(const FleetServer &announced)
+{
+    FleetServer server = announced;
+    server.draining = server.draining || leaving_.contains(server.id, server.bornMs);
     const auto ended = ended_.find(server.id);
     if (ended != ended_.end() && server.bornMs <= ended->second.bornMs) {
         return false;
@@ -177,6 +193,10 @@
 {
     const MonotonicTime now = clock_.monotonic();
     for (const FleetServer &server : view.servers) {
+        if (server.draining) {
+            // Perhaps known from an answer alone, while the server still announces itself as ready.
+            leaving_.note(server.id, server.bornMs);
+        }
         const auto known = servers_.find(server.id);
         if (known == servers_.end()
             || std::pair(known->second.info.bornMs, known->second.info.sequence)
--- a/persimmonlb/fleet/fleetregistry.h
+++ b/persimmonlb/fleet/fleetregistry.h
@@ -9,6 +9,7 @@
 #include "persimmonlb/base/clock.h"
 #include "persimmonlb/base/ids.h"
 #include "persimmonlb/fleet/fleetview.h"
+#include "persimmonlb/fleet/leavingservers.h"
 
 namespace persimmonlb
 {
@@ -52,6 +53,9 @@
     bool announce(const FleetServer &server);
     /// The server ends its registration.
     void serverGone(const ServerId &id);
+    /// A server said in an answer that it leaves: for this start it drains, whatever it announces.
+    /// True when that is new.
+    bool serverLeaves(const ServerLeaving &leaving);
     /// Takes the report of a storage host.
     void report(const HostId &from, const HostReport &report);
     /// Takes which entry hosts report to a storage host.
@@ -97,6 +101,7 @@
     Clock clock_;
     std::map<ServerId, Server> servers_;
     std::map<ServerId, Ended> ended_;
+    LeavingServers leaving_;
     std::map<HostId, Entry> entries_;
     std::map<HostId, ReportedStore> stores_;
     std::uint64_t version_ = 1;
--- a/persimmonlb/fleet/fleetview.h
+++ b/persimmonlb/fleet/fleetview.h
@@ -144,6 +144,15 @@
     bool operator==(const ServerNoticeReply &) const = default;
 };
 
+/// A server said in an answer that it leaves: it must get no new work. Told to the leader by the
+/// host that got the answer, until the leader's view says the same.
+struct ServerLeaving {
+    ServerId server;
+    std::uint64_t bornMs = 0; ///< Which start of the server.
+
+    bool operator==(const ServerLeaving &) const = default;
+};
+
 /// Tells a storage host that the group goes on without it: its store is of no more use.
 struct MemberRemoved {
     HostId member;
@@ -210,8 +219,9 @@
 /// Without a server: the request waits for a slot.
 struct SlotGrant {
     std::uint64_t ticket = 0;
-    ServerId server;
-    std::string address;
+    ServerId server = {};
+    std::string address = {};
+    std::uint64_t bornMs = 0; ///< Which start of the server.
 
     bool operator==(const SlotGrant &) const = default;
 };
--- a/persimmonlb/fleetnode/engineinspector.cpp
+++ b/persimmonlb/fleetnode/engineinspector.cpp
@@ -55,15 +55,18 @@
     }
 }
 
-void EngineInspector::ask(const std::string &address, HttpRequest request,
+void EngineInspector::ask(const InspectedEngine &engine, HttpRequest request,
                           std::function<void(std::uint16_t, const std::string &)> answered)
 {
     const std::uint64_t call = nextCall_++;
     const auto body = std::make_shared<std::string>();
     const auto status = std::make_shared<std::uint16_t>(0);
     HttpExchangeHooks hooks;
-    hooks.head = [status](const HttpResponseHead &head) {
+    hooks.head = [this, status, engine](const HttpResponseHead &head) {
         *status = head.status;
+        if (hooks_.codec.saysLeaving(head)) {
+            hooks_.serverLeaves({engine.id, engine.bornMs});
+        }
     };
     const auto ended = std::make_shared<bool>(false);
     const auto finish = [this, call, ended, answered = std::move(answered)](
@@ -88,12 +91,13 @@
     hooks.end = [body, status, finish](const HttpExchangeEnd &end) {
         finish(end.code == ResultCode::Ok ? *status : 0, *body);
     };
-    calls_[call] = hooks_.send(address, std::move(request), options_.timeout, std::move(hooks));
+    calls_[call]
+        = hooks_.send(engine.address, std::move(request), options_.timeout, std::move(hooks));
 }
 
 void EngineInspector::inspect(const InspectedEngine &engine)
 {
-    ask(engine.address, hooks_.codec.loadRequest(),
+    ask(engine, hooks_.codec.loadRequest(),
         [this, engine](std::uint16_t, const std::string &body) { loadArrived(engine, body); });
 }
 
@@ -144,7 +148,7 @@
     }
     orphans_.pop_front();
     ++stopping_;
-    ask(orphan.engine.address, hooks_.codec.stopRequest(orphan.run, other),
+    ask(orphan.engine, hooks_.codec.stopRequest(orphan.run, other),
         [this, orphan, other](std::uint16_t status, const std::string &body) {
             stopAnswered(orphan, other, status, body);
         });
@@ -169,7 +173,7 @@
     metrics_.count("persimmonlb_orphans_stopped_total", {});
     stopped_.insert(orphan.run);
     ++stopping_;
-    ask(orphan.engine.address, std::move(*release),
+    ask(orphan.engine, std::move(*release),
         [this, orphan, other](std::uint16_t, const std::string &) {
             --stopping_;
             hasRoom_ = other;
--- a/persimmonlb/fleetnode/engineinspector.h
+++ b/persimmonlb/fleetnode/engineinspector.h
@@ -14,6 +14,7 @@
 #include "persimmonlb/base/clock.h"
 #include "persimmonlb/base/ids.h"
 #include "persimmonlb/base/metrics.h"
+#include "persimmonlb/fleet/fleetview.h"
 #include "persimmonlb/http/client.h"
 
 namespace persimmonlb
@@ -29,6 +30,7 @@
 
 struct InspectedEngine {
     ServerId id;
+    std::uint64_t bornMs = 0; ///< Which start of the server.
     std::string address;
     bool stopsRuns = false; ///< Ends a run by its id when it is asked to.
 
@@ -57,6 +59,11 @@
     /// Frees what a stopped run left behind, by the answer to its stop; nothing when it left
     /// nothing.
     std::function<std::optional<HttpRequest>(std::string_view body)> releaseRequest;
+    /// The engine that wrote this head takes no new work: it is about to end.
+    std::function<bool(const HttpResponseHead &head)> saysLeaving
+        = [](const HttpResponseHead & /*head*/) {
+              return false;
+          };
 };
 
 struct EngineInspectorHooks {
@@ -69,6 +76,8 @@
                                            const std::vector<std::string> &runs)>
         orphansOf;
     std::function<void(const ServerId &engine)> orphanStopped;
+    /// An engine said in an answer that it leaves.
+    std::function<void(const ServerLeaving &leaving)> serverLeaves;
 };
 
 /// Finds out, when a host begins to lead, what engines still do for the leader before.
@@ -103,7 +112,7 @@
                       const std::string &body);
     [[nodiscard]] std::string addressBeside(const std::string &address);
     /// Sends a request and hands over its answer; status 0 when there was none.
-    void ask(const std::string &address, HttpRequest request,
+    void ask(const InspectedEngine &engine, HttpRequest request,
              std::function<void(std::uint16_t status, const std::string &body)> answered);
 
     EngineInspectorOptions options_;
--- a/persimmonlb/fleetnode/engineinspector_test.cpp
+++ b/persimmonlb/fleetnode/engineinspector_test.cpp
@@ -16,7 +16,7 @@
 /// Two engines; calls are told apart by their targets.
 struct Bench {
     explicit Bench(bool stopsRuns = true)
-        : engines{{e1, "e1:80", stopsRuns}, {e2, "e2:80", stopsRuns}}
+        : engines{{e1, 1, "e1:80", stopsRuns}, {e2, 1, "e2:80", stopsRuns}}
     {
         inspector.begin();
         pass(0);
@@ -64,6 +64,7 @@
     EngineLoad told;
     std::map<ServerId, std::uint32_t> noted;
     std::vector<ServerId> stopped;
+    std::vector<ServerLeaving> leaving;
     Metrics metrics;
     EngineInspector inspector{
         EngineInspectorOptions{},
@@ -97,7 +98,11 @@
                           HttpRequest request;
                           request.target = "release " + std::string(body);
                           return request;
-                      }},
+                      },
+                      .saysLeaving =
+                          [](const HttpResponseHead &head) {
+                              return head.headers.contains("Leaving");
+                          }},
             .send = recordInto(sendings),
             .noteLoad
             = [this](const ServerId &engine, std::uint32_t requests) { noted[engine] = requests; },
@@ -111,9 +116,10 @@
                     }
                     return orphans;
                 },
-            .orphanStopped =
-                [this](const ServerId &engine) {
-                    stopped.push_back(engine);
+            .orphanStopped = [this](const ServerId &engine) { stopped.push_back(engine); },
+            .serverLeaves =
+                [this](const ServerLeaving &told) {
+                    leaving.push_back(told);
                 }}};
 };
 
@@ -216,6 +222,16 @@
     BOOST_TEST(bench.sent("stop").empty());
 }
 
+BOOST_AUTO_TEST_CASE(AnEngineThatLeavesSaysSoInItsLoadToo)
+{
+    Bench bench;
+    HttpResponseHead head{200, {}};
+    head.headers.fields.push_back({"Leaving", "1"});
+    bench.sent("load").at(0)->hooks.head(head);
+    BOOST_REQUIRE_EQUAL(bench.leaving.size(), 1U);
+    BOOST_TEST((bench.leaving[0] == ServerLeaving{e1, 1}));
+}
+
 BOOST_AUTO_TEST_CASE(AHostThatLeadsNoMoreAsksNothing)
 {
     Bench bench;
--- a/persimmonlb/fleetnode/gatewayrole.cpp
+++ b/persimmonlb/fleetnode/gatewayrole.cpp
@@ -57,6 +57,9 @@
     hooks.held = [this](const HostId &to, const SlotsHeld &held) {
         return deps_.send(to, held);
     };
+    hooks.serverLeaves = [this](const HostId &to, const ServerLeaving &leaving) {
+        return deps_.send(to, leaving);
+    };
     hooks.capacityOf = [this](const ServiceName &service) {
         return slotCapacity(routes_.get(), service);
     };
--- a/persimmonlb/fleetnode/storageleading.cpp
+++ b/persimmonlb/fleetnode/storageleading.cpp
@@ -57,6 +57,19 @@
     return true;
 }
 
+void StorageRole::serverLeaves(const ServerLeaving &leaving)
+{
+    // The exchange that says so may be one of those that end by it.
+    deps_.post([this, leaving] { takeLeaving(leaving); });
+}
+
+void StorageRole::takeLeaving(const ServerLeaving &leaving)
+{
+    if (leads_ && registry_.serverLeaves(leaving)) {
+        publishView();
+    }
+}
+
 void StorageRole::refreshBroker()
 {
     broker_.setServers(registry_.servers(), [this](const ServiceName &service) {
@@ -119,6 +132,8 @@
         deps_.send(from, LeaderBeat{.term = view.term, .version = view.version, .ageMs = 0});
     } else if (const auto *verdict = std::get_if<RunVerdict>(&body)) {
         crashes_.note(*verdict);
+    } else if (const auto *leaving = std::get_if<ServerLeaving>(&body)) {
+        takeLeaving(*leaving);
     }
 }
 
@@ -299,7 +314,10 @@
         if (service == nullptr || !service->isEngine || server.draining) {
             continue;
         }
-        engines.push_back({server.id, server.address, service->stopsRuns});
+        engines.push_back({.id = server.id,
+                           .bornMs = server.bornMs,
+                           .address = server.address,
+                           .stopsRuns = service->stopsRuns});
     }
     return engines;
 }
--- a/persimmonlb/fleetnode/storagerole.cpp
+++ b/persimmonlb/fleetnode/storagerole.cpp
@@ -35,7 +35,8 @@
 bool isForLeader(const PeerBody &body)
 {
     return std::holds_alternative<SlotRequest>(body) || std::holds_alternative<SlotEnd>(body)
-        || std::holds_alternative<SlotsHeld>(body) || std::holds_alternative<RunVerdict>(body);
+        || std::holds_alternative<SlotsHeld>(body) || std::holds_alternative<RunVerdict>(body)
+        || std::holds_alternative<ServerLeaving>(body);
 }
 
 } // namespace
@@ -95,7 +96,11 @@
             },
         .itemRequest = deps_.face.itemRequest,
         .codec = deps_.face.codec,
-        .send = sendThrough(deps_.client)};
+        .send = sendThrough(deps_.client),
+        .serverLeaves =
+            [this](const ServerLeaving &leaving) {
+                serverLeaves(leaving);
+            }};
 }
 
 EngineInspectorHooks StorageRole::inspectorHooks()
@@ -109,9 +114,10 @@
         .orphansOf
         = [this](const ServerId &engine,
                  const std::vector<std::string> &runs) { return runner_.orphansOf(engine, runs); },
-        .orphanStopped =
-            [this](const ServerId &engine) {
-                broker_.noteForeignEnd(engine);
+        .orphanStopped = [this](const ServerId &engine) { broker_.noteForeignEnd(engine); },
+        .serverLeaves =
+            [this](const ServerLeaving &leaving) {
+                serverLeaves(leaving);
             }};
 }
 
--- a/persimmonlb/fleetnode/storagerole.h
+++ b/persimmonlb/fleetnode/storagerole.h
@@ -135,6 +135,9 @@
     void takeReport(const HostId &from, const HostReport &report);
     void takeNotice(const HostId &from, const ServerNotice &notice);
     bool applyNotice(const ServerNotice &notice);
+    /// A server said in an answer to this host that it leaves.
+    void serverLeaves(const ServerLeaving &leaving);
+    void takeLeaving(const ServerLeaving &leaving);
     void adoptFleet();
     void saveFleet();
     [[nodiscard]] FleetView makeView() const;
--- a/persimmonlb/relay/internal/relaycall.cpp
+++ b/persimmonlb/relay/internal/relaycall.cpp
@@ -165,6 +165,9 @@
 
 void RelayService::Call::headArrived(HttpResponseHead head)
 {
+    if (service_.hooks_.codec.saysLeaving(head)) {
+        service_.slots_.serverLeaves(ticket_);
+    }
     answerClass_ = service_.hooks_.codec.classify(request_.id, head);
     if (!answerStarted_ || answerClass_ != AnswerClass::Success) {
         head_ = std::move(head);
--- a/persimmonlb/relay/relayrequest.h
+++ b/persimmonlb/relay/relayrequest.h
@@ -50,6 +50,11 @@
 struct RelayCodec {
     std::function<HttpRequest(const HttpRequest &request, const RelayAttempt &attempt)> encode;
     std::function<AnswerClass(const std::string &requestId, const HttpResponseHead &head)> classify;
+    /// The server that wrote this head takes no new work: it is about to end.
+    std::function<bool(const HttpResponseHead &head)> saysLeaving
+        = [](const HttpResponseHead & /*head*/) {
+              return false;
+          };
     /// The answer that a caller gets for a failure of our own.
     std::function<HttpResponse(const std::string &requestId, const Error &error)> refusal;
 };
--- a/persimmonlb/relay/relayservice_test.cpp
+++ b/persimmonlb/relay/relayservice_test.cpp
@@ -1,4 +1,5 @@
 #include <memory>
+#include <set>
 
 #include <boost/test/unit_test.hpp>
 
@@ -114,6 +115,24 @@
         last().hooks.head(HttpResponseHead{status, {}});
         later.run();
     }
+    /// The head of an answer of a server that leaves.
+    void lastWords(std::uint16_t status)
+    {
+        HttpResponseHead head{status, {}};
+        head.headers.fields.push_back({"Leaving", "1"});
+        last().hooks.head(head);
+        later.run();
+    }
+    /// Servers that the next requests are sent to.
+    std::set<std::string> usedNext(int requests)
+    {
+        std::set<std::string> used;
+        for (int number = 0; number < requests; ++number) {
+            relay(RouteKind::Safe);
+            used.insert(last().address);
+        }
+        return used;
+    }
     void chunk(const std::string &bytes)
     {
         last().hooks.chunk(bytes);
@@ -143,6 +162,7 @@
         SlotClientHooks{.request = [](const HostId &, const SlotRequest &) { return false; },
                         .end = [](const HostId &, const SlotEnd &) { return false; },
                         .held = [](const HostId &, const SlotsHeld &) { return false; },
+                        .serverLeaves = [](const HostId &, const ServerLeaving &) { return false; },
                         .capacityOf =
                             [](const ServiceName &) {
                                 return SlotCapacity{4, 0};
@@ -173,6 +193,8 @@
                            : head.status == 299  ? AnswerClass::Foreign
                                                  : AnswerClass::Failure;
                    },
+               .saysLeaving
+               = [](const HttpResponseHead &head) { return head.headers.contains("Leaving"); },
                .refusal =
                    [](const std::string &, const Error &error) {
                        const bool notRun = error.runState() == RunState::NotRun;
@@ -477,4 +499,44 @@
     BOOST_TEST(unreached.verdicts.empty());
 }
 
+BOOST_AUTO_TEST_CASE(AServerThatLeavesGetsNoNewRequestWhateverItAnswered)
+{
+    for (const std::uint16_t status : {200, 421, 500, 299}) {
+        Bench bench;
+        bench.relay(RouteKind::Streaming, true);
+        const std::string leaves = bench.last().address;
+        bench.lastWords(status);
+        BOOST_TEST(!bench.usedNext(8).contains(leaves), "status " << status);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(AResumedStreamMayTellThatItsNewServerLeaves)
+{
+    Bench bench;
+    bench.relay(RouteKind::Streaming, true);
+    bench.head(200);
+    bench.chunk(event(1));
+    bench.end(ResultCode::BackendFailed);
+    BOOST_REQUIRE_EQUAL(bench.sendings.size(), 2U);
+    const std::string leaves = bench.last().address;
+    bench.lastWords(200);
+    bench.chunk(event(2));
+    // The stream itself goes on there.
+    BOOST_TEST(bench.caller->body == event(1) + event(2));
+    BOOST_TEST(!bench.usedNext(8).contains(leaves));
+}
+
+BOOST_AUTO_TEST_CASE(WhereAllServersLeaveRequestsAreRefusedAtOnce)
+{
+    Bench bench;
+    for (int number = 0; number < 3; ++number) {
+        bench.relay(RouteKind::Safe);
+        bench.lastWords(200);
+    }
+    bench.caller = std::make_shared<FakeResponder>();
+    bench.relay(RouteKind::Safe);
+    BOOST_TEST(bench.sendings.size() == 3U);
+    BOOST_TEST(bench.caller->status == 503);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/persimmonlb/slots/slotbroker.cpp
+++ b/persimmonlb/slots/slotbroker.cpp
@@ -174,7 +174,7 @@
         return;
     }
     enqueue(from, request);
-    hooks_.grant(from, SlotGrant{.ticket = request.ticket, .server = {}, .address = {}});
+    hooks_.grant(from, SlotGrant{.ticket = request.ticket});
 }
 
 bool SlotBroker::tryGrant(const HostId &host, const SlotRequest &request)
@@ -202,7 +202,11 @@
     const MonotonicTime now = clock_.monotonic();
     held_[Ticket{host, request.ticket}] = Held{server.info.id, request.tokens, now};
     noteGrant(server, now);
-    hooks_.grant(host, SlotGrant{request.ticket, server.info.id, server.info.address});
+    hooks_.grant(host,
+                 SlotGrant{.ticket = request.ticket,
+                           .server = server.info.id,
+                           .address = server.info.address,
+                           .bornMs = server.info.bornMs});
 }
 
 void SlotBroker::refuse(const HostId &host, const SlotRequest &request, Milliseconds wait)
@@ -433,6 +437,12 @@
     return found == servers_.end() ? std::string() : found->second.info.address;
 }
 
+std::uint64_t SlotBroker::bornOf(const ServerId &server) const
+{
+    const auto found = servers_.find(server);
+    return found == servers_.end() ? 0 : found->second.info.bornMs;
+}
+
 std::size_t SlotBroker::waiting(const ServiceName &service) const
 {
     const auto found = services_.find(service);
--- a/persimmonlb/slots/slotbroker.h
+++ b/persimmonlb/slots/slotbroker.h
@@ -114,6 +114,8 @@
     [[nodiscard]] std::uint32_t roomForBatch(const ServiceName &service, bool urgent) const;
     /// Address of a server, or empty.
     [[nodiscard]] std::string addressOf(const ServerId &server) const;
+    /// Which start of a server the broker knows, or 0.
+    [[nodiscard]] std::uint64_t bornOf(const ServerId &server) const;
 
     /// Requests that wait for a slot of the service.
     [[nodiscard]] std::size_t waiting(const ServiceName &service) const;
--- a/persimmonlb/slots/slotclient.cpp
+++ b/persimmonlb/slots/slotclient.cpp
@@ -13,40 +13,26 @@
     : options_(std::move(options))
     , clock_(clock)
     , hooks_(std::move(hooks))
-    , local_(SlotBrokerOptions{}, std::move(clock), std::move(random),
-             SlotBrokerHooks{
-                 .grant =
-                     [this](const HostId &, const SlotGrant &grant) {
-                         if (!grant.server.empty()) {
-                             finish(grant.ticket, {grant.server, grant.address, Milliseconds(0)},
-                                    true);
-                         }
-                     },
-                 .refuse =
-                     [this](const HostId &, const SlotRefusal &refusal) {
-                         finish(refusal.ticket,
-                                {{},
-                                 {},
-                                 Milliseconds(static_cast<std::int64_t>(refusal.retryAfterMs))},
-                                true);
-                     },
-                 .yieldBatch = nullptr,
-                 .batchMayStart = nullptr})
+    , local_(
+          SlotBrokerOptions{}, std::move(clock), std::move(random),
+          SlotBrokerHooks{.grant =
+                              [this](const HostId &, const SlotGrant &grant) {
+                                  if (!grant.server.empty()) {
+                                      grantArrived(grant, true);
+                                  }
+                              },
+                          .refuse = [this](const HostId &,
+                                           const SlotRefusal &refusal) { refusalArrived(refusal); },
+                          .yieldBatch = nullptr,
+                          .batchMayStart = nullptr})
 {
 }
 
 void SlotClient::setView(const FleetView &view)
 {
     entryCount_ = std::max<std::size_t>(1, view.entries.size());
-    local_.setServers(view.servers, [this](const ServiceName &service) {
-        SlotCapacity capacity = hooks_.capacityOf(service);
-        if (hooks_.isBrokered(service) && capacity.slots > 0) {
-            // Without the broker every entry host keeps to its share of each server.
-            const auto share = static_cast<std::uint32_t>(capacity.slots / entryCount_);
-            capacity.slots = std::max(1U, share);
-        }
-        return capacity;
-    });
+    servers_ = view.servers;
+    refreshServers();
     if (broker_ == view.leader && brokerTerm_ == view.term) {
         return;
     }
@@ -54,6 +40,7 @@
     brokerTerm_ = view.term;
     brokerMute_ = broker_.empty();
     tellHeld();
+    tellLeaving();
     for (auto &[ticket, pending] : pending_) {
         if (!pending.local) {
             pending.queued = false;
@@ -62,6 +49,52 @@
     }
 }
 
+void SlotClient::refreshServers()
+{
+    std::vector<FleetServer> servers = servers_;
+    untold_.clear();
+    for (FleetServer &server : servers) {
+        if (server.draining || !leaving_.contains(server.id, server.bornMs)) {
+            continue;
+        }
+        server.draining = true;
+        untold_.push_back({server.id, server.bornMs});
+    }
+    local_.setServers(servers, [this](const ServiceName &service) {
+        SlotCapacity capacity = hooks_.capacityOf(service);
+        if (hooks_.isBrokered(service) && capacity.slots > 0) {
+            // Without the broker every entry host keeps to its share of each server.
+            const auto share = static_cast<std::uint32_t>(capacity.slots / entryCount_);
+            capacity.slots = std::max(1U, share);
+        }
+        return capacity;
+    });
+}
+
+void SlotClient::serverLeaves(std::uint64_t ticket)
+{
+    const auto granted = granted_.find(ticket);
+    if (granted == granted_.end()
+        || !leaving_.note(granted->second.server, granted->second.bornMs)) {
+        return;
+    }
+    LogLine(LogLevel::Info, "server_says_it_leaves")
+        .add("server", granted->second.server.value)
+        .add("born", static_cast<std::int64_t>(granted->second.bornMs))
+        .write();
+    refreshServers();
+    tellLeaving();
+}
+
+void SlotClient::tellLeaving()
+{
+    for (const ServerLeaving &leaving : untold_) {
+        if (!broker_.empty()) {
+            hooks_.serverLeaves(broker_, leaving);
+        }
+    }
+}
+
 void SlotClient::tellHeld()
 {
     SlotsHeld held;
@@ -122,23 +155,40 @@
     local_.request(options_.self, request);
 }
 
-void SlotClient::finish(std::uint64_t ticket, SlotAnswer answer, bool local)
+void SlotClient::grantArrived(const SlotGrant &grant, bool local)
+{
+    const auto pending = pending_.find(grant.ticket);
+    if (pending == pending_.end()) {
+        return;
+    }
+    const SlotRequest &request = pending->second.request;
+    finish(grant.ticket, {grant.server, grant.address, Milliseconds(0)},
+           Granted{.server = grant.server,
+                   .bornMs = grant.bornMs,
+                   .tokens = request.tokens,
+                   .local = local,
+                   .brokered = hooks_.isBrokered(request.service),
+                   .at = clock_.monotonic()});
+}
+
+void SlotClient::refusalArrived(const SlotRefusal &refusal)
+{
+    finish(refusal.ticket, {{}, {}, Milliseconds(static_cast<std::int64_t>(refusal.retryAfterMs))},
+           Granted{});
+}
+
+void SlotClient::finish(std::uint64_t ticket, SlotAnswer answer, const Granted &granted)
 {
     const auto found = pending_.find(ticket);
     if (found == pending_.end()) {
         return;
     }
-    const Pending pending = std::move(found->second);
+    const auto done = std::move(found->second.done);
     pending_.erase(found);
     if (!answer.server.empty()) {
-        granted_.emplace(ticket,
-                         Granted{.server = answer.server,
-                                 .tokens = pending.request.tokens,
-                                 .local = local,
-                                 .brokered = hooks_.isBrokered(pending.request.service),
-                                 .at = clock_.monotonic()});
+        granted_.emplace(ticket, granted);
     }
-    pending.done(std::move(answer));
+    done(std::move(answer));
 }
 
 void SlotClient::end(std::uint64_t ticket, SlotOutcome outcome)
@@ -185,7 +235,15 @@
         pending->second.queued = true;
         return;
     }
-    finish(grant.ticket, {grant.server, grant.address, Milliseconds(0)}, false);
+    if (leaving_.contains(grant.server, grant.bornMs)) {
+        // The grant and the news of the server crossed.
+        hooks_.end(from, SlotEnd{grant.ticket, SlotOutcome::Abandoned, 0});
+        pending->second.request.excluded.push_back(grant.server);
+        pending->second.queued = false;
+        askBroker(grant.ticket);
+        return;
+    }
+    grantArrived(grant, false);
 }
 
 void SlotClient::receive(const HostId &from, const SlotRefusal &refusal)
@@ -193,8 +251,7 @@
     brokerHeard(from);
     const auto pending = pending_.find(refusal.ticket);
     if (pending != pending_.end() && !pending->second.local) {
-        finish(refusal.ticket,
-               {{}, {}, Milliseconds(static_cast<std::int64_t>(refusal.retryAfterMs))}, false);
+        refusalArrived(refusal);
     }
 }
 
@@ -250,9 +307,12 @@
         }
         askLocally(ticket);
     }
-    if (brokerMute_ && !broker_.empty() && now >= nextProbe_) {
+    if (!broker_.empty() && now >= nextProbe_) {
         nextProbe_ = now + options_.probeInterval;
-        tellHeld();
+        tellLeaving();
+        if (brokerMute_) {
+            tellHeld();
+        }
     }
     local_.tick();
 }
--- a/persimmonlb/slots/slotclient.h
+++ b/persimmonlb/slots/slotclient.h
@@ -10,6 +10,7 @@
 #include "persimmonlb/base/clock.h"
 #include "persimmonlb/base/ids.h"
 #include "persimmonlb/fleet/fleetview.h"
+#include "persimmonlb/fleet/leavingservers.h"
 #include "persimmonlb/slots/slotbroker.h"
 
 namespace persimmonlb
@@ -28,6 +29,7 @@
     std::function<bool(const HostId &to, const SlotRequest &request)> request;
     std::function<bool(const HostId &to, const SlotEnd &end)> end;
     std::function<bool(const HostId &to, const SlotsHeld &held)> held;
+    std::function<bool(const HostId &to, const ServerLeaving &leaving)> serverLeaves;
     std::function<SlotCapacity(const ServiceName &service)> capacityOf;
     /// Services whose slots the broker gives out; others are chosen here.
     std::function<bool(const ServiceName &service)> isBrokered;
@@ -58,6 +60,9 @@
     /// Asks for a slot and returns its ticket. `done` is called once, later, unless end() comes
     /// first.
     std::uint64_t acquire(SlotRequest request, std::function<void(SlotAnswer)> done);
+    /// The server that holds the slot of this ticket says that it leaves: from now on it gets no
+    /// new work from this host, whether or not the broker can be told.
+    void serverLeaves(std::uint64_t ticket);
     /// Gives a slot back, or withdraws a request.
     void end(std::uint64_t ticket, SlotOutcome outcome);
 
@@ -79,6 +84,7 @@
     };
     struct Granted {
         ServerId server;
+        std::uint64_t bornMs = 0;
         std::uint64_t tokens = 0;
         bool local = false;
         bool brokered = false;
@@ -87,14 +93,23 @@
 
     void askLocally(std::uint64_t ticket);
     void askBroker(std::uint64_t ticket);
-    void finish(std::uint64_t ticket, SlotAnswer answer, bool local);
+    void grantArrived(const SlotGrant &grant, bool local);
+    void refusalArrived(const SlotRefusal &refusal);
+    void finish(std::uint64_t ticket, SlotAnswer answer, const Granted &granted);
     void tellHeld();
+    /// Gives the servers of the view to the local choice, less those that leave.
+    void refreshServers();
+    /// Tells the broker of servers that leave and that its view still counts on.
+    void tellLeaving();
     [[nodiscard]] bool brokerAnswers() const;
 
     SlotClientOptions options_;
     Clock clock_;
     SlotClientHooks hooks_;
     SlotBroker local_;
+    std::vector<FleetServer> servers_; ///< Of the view.
+    LeavingServers leaving_;
+    std::vector<ServerLeaving> untold_; ///< Servers that leave, which the view does not say.
     HostId broker_;
     std::uint64_t brokerTerm_ = 0;
     bool brokerMute_ = true;
--- a/persimmonlb/slots/slotclient_test.cpp
+++ b/persimmonlb/slots/slotclient_test.cpp
@@ -60,6 +60,7 @@
     std::vector<SlotEnd> ends;
     std::vector<SlotsHeld> told;
     std::vector<SlotAnswer> answers;
+    std::vector<std::pair<HostId, ServerLeaving>> leaving;
     SlotClient client{SlotClientOptions{.self = HostId{"e"}},
                       Clock{.monotonic = [this] { return now; },
                             .wall =
@@ -82,6 +83,11 @@
                                               told.push_back(held);
                                               return connected;
                                           },
+                                      .serverLeaves =
+                                          [this](const HostId &to, const ServerLeaving &told) {
+                                              leaving.emplace_back(to, told);
+                                              return connected;
+                                          },
                                       .capacityOf =
                                           [](const ServiceName &) {
                                               return SlotCapacity{8, 0};
@@ -102,7 +108,7 @@
     Bench bench;
     const std::uint64_t ticket = bench.ask();
     BOOST_REQUIRE_EQUAL(bench.asked.size(), 1U);
-    bench.client.receive(broker, SlotGrant{ticket, ServerId{"s1"}, "s1:80"});
+    bench.client.receive(broker, SlotGrant{ticket, ServerId{"s1"}, "s1:80", 1});
     BOOST_REQUIRE_EQUAL(bench.answers.size(), 1U);
     BOOST_TEST(bench.answers[0].address == "s1:80");
     bench.now += Milliseconds(900);
@@ -144,7 +150,7 @@
 {
     Bench bench;
     const std::uint64_t held = bench.ask();
-    bench.client.receive(broker, SlotGrant{held, ServerId{"s1"}, "s1:80"});
+    bench.client.receive(broker, SlotGrant{held, ServerId{"s1"}, "s1:80", 1});
     const std::uint64_t waiting = bench.ask();
     bench.client.receive(broker, SlotGrant{waiting, {}, {}});
     bench.client.setView(Bench::view(HostId{"b2"}, 2));
@@ -161,9 +167,79 @@
     const std::uint64_t ticket = bench.ask();
     bench.client.end(ticket, SlotOutcome::Abandoned);
     BOOST_TEST(bench.ends.size() == 1U);
-    bench.client.receive(broker, SlotGrant{ticket, ServerId{"s1"}, "s1:80"});
+    bench.client.receive(broker, SlotGrant{ticket, ServerId{"s1"}, "s1:80", 1});
     BOOST_TEST(bench.answers.empty());
     BOOST_TEST(bench.ends.size() == 2U);
 }
 
+BOOST_AUTO_TEST_CASE(AServerThatSaysThatItLeavesGetsNothingMoreFromAHostThatIsCutOff)
+{
+    Bench bench;
+    const std::uint64_t ticket = bench.ask();
+    bench.client.receive(broker, SlotGrant{ticket, ServerId{"s1"}, "s1:80", 1});
+    bench.answers.clear();
+    bench.connected = false;
+    bench.client.serverLeaves(ticket);
+    bench.client.brokerLost(broker);
+    bench.ask();
+    bench.pass(20);
+    BOOST_REQUIRE_EQUAL(bench.answers.size(), 1U);
+    // It was the last server: refused at once, with a time to come back.
+    BOOST_TEST(bench.answers[0].server.empty());
+    BOOST_TEST(bench.answers[0].retryAfter.count() > 0);
+    // Another leader that still counts on the server is told, until its view says the same.
+    bench.connected = true;
+    bench.leaving.clear();
+    bench.client.setView(Bench::view(HostId{"b2"}, 2));
+    BOOST_REQUIRE(!bench.leaving.empty());
+    BOOST_TEST(bench.leaving.back().first.value == "b2");
+    BOOST_TEST((bench.leaving.back().second == ServerLeaving{ServerId{"s1"}, 1}));
+    bench.leaving.clear();
+    bench.pass(400);
+    BOOST_TEST(bench.leaving.size() == 1U);
+    FleetView known = Bench::view(HostId{"b2"}, 2);
+    known.servers[0].draining = true;
+    bench.client.setView(known);
+    bench.leaving.clear();
+    bench.pass(400);
+    BOOST_TEST(bench.leaving.empty());
+}
+
+BOOST_AUTO_TEST_CASE(AGrantThatCrossesTheNewsIsGivenBackAndAskedForAgain)
+{
+    Bench bench;
+    const std::uint64_t first = bench.ask();
+    bench.client.receive(broker, SlotGrant{first, ServerId{"s1"}, "s1:80", 1});
+    const std::uint64_t second = bench.ask();
+    bench.client.serverLeaves(first);
+    bench.answers.clear();
+    bench.ends.clear();
+    bench.client.receive(broker, SlotGrant{second, ServerId{"s1"}, "s1:80", 1});
+    BOOST_TEST(bench.answers.empty());
+    BOOST_REQUIRE_EQUAL(bench.ends.size(), 1U);
+    BOOST_TEST(bench.ends[0].ticket == second);
+    BOOST_TEST(bench.asked.back().second.ticket == second);
+    BOOST_REQUIRE_EQUAL(bench.asked.back().second.excluded.size(), 1U);
+    bench.client.receive(broker, SlotGrant{second, ServerId{"s2"}, "s2:80", 1});
+    BOOST_REQUIRE_EQUAL(bench.answers.size(), 1U);
+    BOOST_TEST(bench.answers[0].server.value == "s2");
+}
+
+BOOST_AUTO_TEST_CASE(ALaterStartOfAServerThatLeftIsUsed)
+{
+    Bench bench;
+    const std::uint64_t ticket = bench.ask();
+    bench.client.receive(broker, SlotGrant{ticket, ServerId{"s1"}, "s1:80", 1});
+    bench.client.serverLeaves(ticket);
+    FleetView view = Bench::view(broker, 1);
+    view.servers[0].bornMs = 2;
+    bench.client.setView(view);
+    bench.client.brokerLost(broker);
+    bench.answers.clear();
+    bench.ask();
+    bench.pass(20);
+    BOOST_REQUIRE_EQUAL(bench.answers.size(), 1U);
+    BOOST_TEST(bench.answers[0].server.value == "s1");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/persimmonlb/wire/internal/messagefields.h
+++ b/persimmonlb/wire/internal/messagefields.h
@@ -385,6 +385,14 @@
     archive.field("i", message.ticket);
     archive.field("s", message.server);
     archive.field("a", message.address);
+    archive.field("n", message.bornMs);
+}
+
+template <typename Archive>
+void describeFields(Archive &archive, Fields<Archive, ServerLeaving> &message)
+{
+    archive.field("s", message.server);
+    archive.field("n", message.bornMs);
 }
 
 template <typename Archive>
--- a/persimmonlb/wire/message.h
+++ b/persimmonlb/wire/message.h
@@ -215,7 +215,8 @@
                    ProposeRequest, QueryRequest, ControlReply, LeaseRequest, LeaseGrant,
                    ServerDigest, YieldRequest, FleetView, HostReport, RoutesPush, ServerNotice,
                    ServerNoticeReply, MemberRemoved, SlotRequest, SlotGrant, SlotRefusal, SlotEnd,
-                   SlotsHeld, LeaderBeat, RunVerdict, CrashSuspects, FleetChange, AttachedHosts>;
+                   SlotsHeld, LeaderBeat, RunVerdict, CrashSuspects, FleetChange, AttachedHosts,
+                   ServerLeaving>;
 
 struct PeerMessage {
     GroupId group = defaultGroup;
