Cold start: a wiped host answers for its former member, dials follow faster, callers get spread times to come back

Change: a host whose store was replaced answers the question of members that have just started for the member that it was; dials begin at 25 ms and double to 200 ms; Retry-After of hosts without routes is what is left of a cold start (1 s) plus a spread of 0.5 s. One line a second of each service's slots at the leader (slots_used). Ruled out: holding such requests until routes come (they would be late, and hold connections).

--- a/persimmonlb/agreement/election.cpp
+++ b/persimmonlb/agreement/election.cpp
@@ -24,7 +24,7 @@
         return;
     }
     if (core_.role() == Role::Follower && knowsOfNoLeader() && core_.now() >= nextQuestion_) {
-        nextQuestion_ = core_.now() + core_.options.timeouts.heartbeat;
+        nextQuestion_ = core_.now() + core_.options.timeouts.heartbeat / 2;
         askAfterStart();
     }
 }
--- a/persimmonlb/fleetnode/fleetnode_test.cpp
+++ b/persimmonlb/fleetnode/fleetnode_test.cpp
@@ -38,6 +38,23 @@
     BOOST_TEST(gateway.routes()->version() == 7U);
 }
 
+/// Cold start: entry hosts are up before the group has a leader.
+BOOST_AUTO_TEST_CASE(CallersOfAHostWithoutRoutesAreToldSpreadTimes)
+{
+    LoopbackFleet fleet;
+    fleet.startEntry(9);
+    const GatewayRole &gateway = *fleet.node(9).gateway();
+    BOOST_TEST(gateway.routes() == nullptr);
+    std::set<std::int64_t> told;
+    for (int caller = 0; caller < 20; ++caller) {
+        const Milliseconds wait = gateway.routesExpectedIn();
+        told.insert(wait.count());
+        BOOST_TEST(wait >= Milliseconds(300));
+        BOOST_TEST(wait <= Milliseconds(1500));
+    }
+    BOOST_TEST(told.size() > 5U);
+}
+
 BOOST_AUTO_TEST_CASE(AnEntryHostFindsALeaderThatIsNoSeedOfIt)
 {
     LoopbackFleet fleet;
--- a/persimmonlb/fleetnode/gatewayrole.cpp
+++ b/persimmonlb/fleetnode/gatewayrole.cpp
@@ -20,6 +20,12 @@
 constexpr Milliseconds exitMargin{300};
 /// For the leader to confirm that this host is no longer named; it may be unreachable.
 constexpr Milliseconds confirmation{700};
+/// From the start of all processes until each host has routes: stores are opened, a leader is
+/// elected after its longest silence, routes are passed down.
+constexpr Milliseconds coldStart{1000};
+/// A host alone that is still without routes then has lost its parents, and waits for others.
+constexpr Milliseconds leastRoutesWait{300};
+constexpr Milliseconds returnSpread{500};
 /// Callers may keep an answer three times as long as it says.
 constexpr int answerLifetimes = 3;
 
@@ -36,6 +42,7 @@
     , relay_(RelayOptions{.availabilityZone = deps_.settings.availabilityZone}, deps_.clock,
              deps_.random, slots_, deps_.metrics, relayHooks())
     , drain_(linger(deps_.settings), deps_.clock, drainHooks())
+    , startedAt_(deps_.clock.monotonic())
 {
 }
 
@@ -206,6 +213,14 @@
     return near;
 }
 
+Milliseconds GatewayRole::routesExpectedIn() const
+{
+    const auto up = std::chrono::duration_cast<Milliseconds>(deps_.clock.monotonic() - startedAt_);
+    const auto spread = static_cast<std::uint64_t>(returnSpread.count());
+    return std::max(coldStart - up, leastRoutesWait)
+        + Milliseconds(static_cast<std::int64_t>(deps_.random() % spread));
+}
+
 std::shared_ptr<const RouteTable> GatewayRole::routes() const
 {
     return routes_;
--- a/persimmonlb/fleetnode/gatewayrole.h
+++ b/persimmonlb/fleetnode/gatewayrole.h
@@ -64,6 +64,9 @@
     [[nodiscard]] std::vector<std::string> addressesFor(const AvailabilityZone &zone) const;
     /// Null before the first routes came.
     [[nodiscard]] std::shared_ptr<const RouteTable> routes() const;
+    /// Before the first routes came: when a caller may come back and find them. Spread, so that
+    /// those who are refused while a whole fleet starts do not come back all at once.
+    [[nodiscard]] Milliseconds routesExpectedIn() const;
     void relay(RelayRequest request, std::shared_ptr<HttpResponder> responder);
     [[nodiscard]] std::size_t openRequests() const;
 
@@ -81,6 +84,7 @@
     SlotClient slots_;
     RelayService relay_;
     Drain drain_;
+    MonotonicTime startedAt_;
     MonotonicTime drainBegan_;
 };
 
--- a/persimmonlb/fleetnode/groupcare.cpp
+++ b/persimmonlb/fleetnode/groupcare.cpp
@@ -16,6 +16,17 @@
 
 } // namespace
 
+std::optional<VoteReply> replyOfFormerMember(const HostId &host, const HostId &former,
+                                             const PeerBody &body)
+{
+    const auto *question = std::get_if<VoteRequest>(&body);
+    const bool asked = question != nullptr && question->preVote && question->afterStart;
+    if (!asked || hostOfMember(former) != host) {
+        return std::nullopt;
+    }
+    return VoteReply{.term = question->term, .preVote = true, .granted = true};
+}
+
 HostId hostOfMember(const HostId &member)
 {
     return HostId{member.value.substr(0, member.value.find('#'))};
--- a/persimmonlb/fleetnode/groupcare.h
+++ b/persimmonlb/fleetnode/groupcare.h
@@ -9,6 +9,7 @@
 #include "persimmonlb/agreement/agreement.h"
 #include "persimmonlb/base/clock.h"
 #include "persimmonlb/fleet/fleetregistry.h"
+#include "persimmonlb/wire/message.h"
 
 namespace persimmonlb
 {
@@ -68,6 +69,12 @@
     std::map<HostId, MonotonicTime> heardAt_; ///< By member id.
 };
 
+/// What a host answers to a question for a member that it was with an earlier store: the process
+/// that could have led as that member has ended. Nothing for other messages, and for members of
+/// other hosts.
+std::optional<VoteReply> replyOfFormerMember(const HostId &host, const HostId &former,
+                                             const PeerBody &body);
+
 /// The host part of a member id: "10.0.0.1" of "10.0.0.1#5f3a".
 HostId hostOfMember(const HostId &member);
 
--- a/persimmonlb/fleetnode/groupcare_test.cpp
+++ b/persimmonlb/fleetnode/groupcare_test.cpp
@@ -159,4 +159,20 @@
     BOOST_TEST(!bench.advise().swap.has_value());
 }
 
+/// Cold start with one store wiped: the others need not wait for a leader that it could have been.
+BOOST_AUTO_TEST_CASE(AHostSaysThatItsFormerMemberLeadsNoMore)
+{
+    const HostId host{"10.0.0.1"};
+    const HostId former{"10.0.0.1#5f3a"};
+    const VoteRequest question{.term = 9, .preVote = true, .afterStart = true};
+    const auto reply = replyOfFormerMember(host, former, question);
+    BOOST_REQUIRE(reply.has_value());
+    BOOST_TEST((*reply == VoteReply{.term = 9, .preVote = true, .granted = true}));
+    // It never votes in the name of that member, nor answers for members of other hosts.
+    BOOST_TEST(!replyOfFormerMember(host, former, VoteRequest{.term = 9, .preVote = true}));
+    BOOST_TEST(!replyOfFormerMember(host, former, VoteRequest{.term = 9, .afterStart = true}));
+    BOOST_TEST(!replyOfFormerMember(host, HostId{"10.0.0.2"}, question));
+    BOOST_TEST(!replyOfFormerMember(host, former, AppendRequest{}));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/persimmonlb/fleetnode/storageleading.cpp
+++ b/persimmonlb/fleetnode/storageleading.cpp
@@ -14,6 +14,7 @@
 {
 
 constexpr Milliseconds careInterval{100};
+constexpr Milliseconds usageInterval{1000}; ///< Between lines for operators.
 /// For the leader to take an announcement: servers wait a second for the answer.
 constexpr Milliseconds noticeTimeout{700};
 /// Hosts that connected after the last change of the suspects learn of them within this.
@@ -339,6 +340,43 @@
         pushCrashes();
         careForGroup();
     }
+    if (now >= nextUsage_) {
+        nextUsage_ = now + usageInterval;
+        logUsage();
+    }
+}
+
+void StorageRole::logUsage()
+{
+    std::size_t waitingItems = 0;
+    std::size_t lateItems = 0;
+    for (const auto &[id, job] : control_->state()->bulk().jobs()) {
+        if (!job.isOpen()) {
+            continue;
+        }
+        const auto waiting = static_cast<std::size_t>(std::ranges::count(
+            job.items, BulkItemPhase::Waiting, [](const BulkItem &item) { return item.phase; }));
+        waitingItems += waiting;
+        lateItems += job.dueAt < deps_.clock.wall() ? waiting : 0;
+    }
+    for (const ServiceName &service : broker_.services()) {
+        const SlotUsage usage = broker_.usage(service);
+        if (usage.online + usage.batch + usage.foreign + usage.waiting == 0) {
+            continue;
+        }
+        LogLine(LogLevel::Info, "slots_used")
+            .add("service", service.value)
+            .add("slots", static_cast<std::int64_t>(usage.slots))
+            .add("online", static_cast<std::int64_t>(usage.online))
+            .add("batch", static_cast<std::int64_t>(usage.batch))
+            .add("foreign", static_cast<std::int64_t>(usage.foreign))
+            .add("waiting", static_cast<std::int64_t>(usage.waiting))
+            .add("servers", static_cast<std::int64_t>(usage.servers))
+            .add("unusable", static_cast<std::int64_t>(usage.unusable))
+            .add("open_items", static_cast<std::int64_t>(waitingItems))
+            .add("late_items", static_cast<std::int64_t>(lateItems))
+            .write();
+    }
 }
 
 // ---- retiring -----------------------------------------------------------------------------------
--- a/persimmonlb/fleetnode/storagerole.cpp
+++ b/persimmonlb/fleetnode/storagerole.cpp
@@ -366,9 +366,22 @@
         }
         return;
     }
+    const HostId &sender = fromMember.empty() ? from : fromMember;
     const bool forOther = !toMember.empty() && toMember != identity_.member;
-    if (running_ && !forOther) {
-        control_->receive(fromMember.empty() ? from : fromMember, body);
+    if (forOther) {
+        answerForFormerMember(sender, toMember, body);
+        return;
+    }
+    if (running_) {
+        control_->receive(sender, body);
+    }
+}
+
+void StorageRole::answerForFormerMember(const HostId &asking, const HostId &former,
+                                        const PeerBody &body)
+{
+    if (const auto reply = replyOfFormerMember(deps_.settings.host, former, body)) {
+        deps_.sendToMember(former, asking, *reply);
     }
 }
 
--- a/persimmonlb/fleetnode/storagerole.h
+++ b/persimmonlb/fleetnode/storagerole.h
@@ -117,6 +117,8 @@
     Result<void> loadIdentity();
     void makeControl();
     Result<void> startControl();
+    /// Says, for a member whose store this host had before, that it leads no more.
+    void answerForFormerMember(const HostId &asking, const HostId &former, const PeerBody &body);
     void restartControl(Milliseconds delay);
     void giveUpStore();
     void leadershipChanged(bool leads);
@@ -131,6 +133,8 @@
     void pushCrashes();
     /// Tells the broker of the servers and of what the routes say of them.
     void refreshBroker();
+    /// One line a second for each service in use: what its slots do, and how many items wait.
+    void logUsage();
     void receiveAsLeader(const HostId &from, const PeerBody &body);
     void takeReport(const HostId &from, const HostReport &report);
     void takeNotice(const HostId &from, const ServerNotice &notice);
@@ -176,6 +180,7 @@
     MonotonicTime nextCrashes_;
     bool leads_ = false;
     MonotonicTime nextCare_;
+    MonotonicTime nextUsage_;
     std::uint64_t nextNotice_ = 1;
     std::map<std::uint64_t, PendingNotice> notices_;
 };
--- a/persimmonlb/slots/slotbroker.h
+++ b/persimmonlb/slots/slotbroker.h
@@ -26,9 +26,6 @@
     /// How much longer a request that came back may wait than its objective allows: refusing it
     /// again serves its caller worse than a late answer.
     Milliseconds returnedGrace{600};
-    /// A request that is late for longer holds up new ones: they are refused instead of kept before
-    /// it. As long as an online answer holds a slot.
-    Milliseconds lateGrace{900};
     /// A server that cannot be reached rests for so long, twice as long each time in a row.
     Milliseconds firstRest{400};
     Milliseconds longestRest{4000};
@@ -69,6 +66,19 @@
     bool operator==(const SlotCapacity &) const = default;
 };
 
+/// How the slots of a service are used.
+struct SlotUsage {
+    std::uint32_t slots = 0; ///< Of servers that neither drain nor rest.
+    std::uint32_t online = 0;
+    std::uint32_t batch = 0;
+    std::uint32_t foreign = 0; ///< Taken by requests of senders that are gone.
+    std::uint32_t servers = 0;
+    std::uint32_t unusable = 0; ///< Servers that drain or rest.
+    std::size_t waiting = 0; ///< Requests.
+
+    bool operator==(const SlotUsage &) const = default;
+};
+
 /// Gives out the slots of every engine server, one request a slot.
 ///
 /// One broker sees all slots of a service, so it knows at once whether a request can start in
@@ -119,6 +129,8 @@
 
     /// Requests that wait for a slot of the service.
     [[nodiscard]] std::size_t waiting(const ServiceName &service) const;
+    [[nodiscard]] SlotUsage usage(const ServiceName &service) const;
+    [[nodiscard]] std::vector<ServiceName> services() const;
     /// Slots of the service that nothing holds, on servers that take requests.
     [[nodiscard]] std::uint32_t freeSlots(const ServiceName &service) const;
 
@@ -165,6 +177,8 @@
     struct Service {
         Queue queue; ///< Ordered by priority and startBy.
         double holdMs = 0;
+        /// Up to then the slots that are kept for callers that come back are promised.
+        MonotonicTime nextAppointment;
         std::vector<Server *> servers; ///< Of servers_.
         /// When each held slot was granted, in this order. The first one ends first, as all are
         /// held about as long.
@@ -191,12 +205,18 @@
     bool tryGrant(const HostId &host, const SlotRequest &request);
     void grant(const HostId &host, const SlotRequest &request, Server &server);
     void refuse(const HostId &host, const SlotRequest &request, Milliseconds wait);
+    /// When the caller of a refused request should come back: at the first time for which slots are
+    /// not yet promised to others.
+    Milliseconds appointment(const SlotRequest &request, Milliseconds wait);
     void enqueue(const HostId &host, const SlotRequest &request);
     /// Serves by priority; of one priority those that can still start in time first. Serving a late
     /// one first would make the next ones late as well.
     void serveQueue(const ServiceName &service);
     /// Serves from `first` to before `last` until no slot is left; false then.
     bool serveRange(Queue &queue, Queue::iterator first, Queue::iterator last);
+    /// Refuses requests that wait and, by what is known now, cannot start before their callers are
+    /// gone: slots were lost, or others that can be in time go first.
+    void refuseHopeless(const ServiceName &name, Service &service);
     void noteGrant(const Server &server, MonotonicTime at);
     void release(const Held &held);
     void releaseBatch(const BatchRunSlot &run);
--- a/persimmonlb/slots/slotchoice.cpp
+++ b/persimmonlb/slots/slotchoice.cpp
@@ -138,6 +138,32 @@
     return slots;
 }
 
+SlotUsage SlotBroker::usage(const ServiceName &service) const
+{
+    const MonotonicTime now = clock_.monotonic();
+    SlotUsage usage;
+    for (const Server *server : serversOf(service)) {
+        const bool usable = !server->info.draining && now >= server->restsUntil;
+        ++usage.servers;
+        usage.unusable += usable ? 0 : 1;
+        usage.slots += usable ? slotsOf(*server) : 0;
+        usage.online += server->online;
+        usage.batch += server->batch;
+        usage.foreign += foreignOf(*server, now);
+    }
+    usage.waiting = waiting(service);
+    return usage;
+}
+
+std::vector<ServiceName> SlotBroker::services() const
+{
+    std::vector<ServiceName> names;
+    for (const auto &[name, service] : services_) {
+        names.push_back(name);
+    }
+    return names;
+}
+
 std::uint32_t SlotBroker::freeSlots(const ServiceName &service) const
 {
     const MonotonicTime now = clock_.monotonic();
--- a/persimmonlb/wire/internal/meshcore.cpp
+++ b/persimmonlb/wire/internal/meshcore.cpp
@@ -268,6 +268,7 @@
     const auto peer = peers_.find(host);
     if (peer != peers_.end()) {
         peer->second.failureLogged = false;
+        peer->second.reconnect = options_.firstReconnect;
     }
     const auto active = active_.find(host);
     if (active == active_.end()) {
--- a/persimmonlb/wire/internal/meshcore.h
+++ b/persimmonlb/wire/internal/meshcore.h
@@ -94,6 +94,7 @@
         bool dialsBack = true;
         LinkId dialling = 0;
         bool dialScheduled = false;
+        Milliseconds reconnect{0}; ///< Before the last dial; doubles while dials fail.
         bool failureLogged = false;
     };
     using Links = std::unordered_map<LinkId, Link>;
--- a/persimmonlb/wire/internal/meshupkeep.cpp
+++ b/persimmonlb/wire/internal/meshupkeep.cpp
@@ -59,7 +59,9 @@
     }
     peer.dialScheduled = true;
     const bool peerIsLower = host < options_.self && peer.dialsBack;
-    Milliseconds delay = first ? Milliseconds(0) : jittered(options_.reconnectInterval);
+    peer.reconnect = first ? options_.firstReconnect
+                           : std::min(2 * peer.reconnect, options_.reconnectInterval);
+    Milliseconds delay = first ? Milliseconds(0) : jittered(peer.reconnect);
     if (peerIsLower) {
         delay = jittered(options_.reconnectInterval * higherIdDelayFactor);
     }
--- a/persimmonlb/wire/mesh.h
+++ b/persimmonlb/wire/mesh.h
@@ -27,7 +27,10 @@
     std::string listenAddress; ///< "ip:port"; port 0 takes a free one.
     std::string sharedKey; ///< Secret of all our processes; proved by challenge, never sent.
     std::vector<MeshPeer> peers;
+    /// Between dials of a peer that cannot be reached. The first ones follow faster: after a loss
+    /// of power all hosts start at once, and a peer listens some milliseconds later.
     Milliseconds reconnectInterval{200};
+    Milliseconds firstReconnect{25};
     std::uint64_t maxMessageBytes = 16ULL * 1024 * 1024;
     std::uint64_t maxQueuedBytesPerPeer = 64ULL * 1024 * 1024;
 };
