--- a/persimmonlb/relay/internal/relaycall.h
+++ b/persimmonlb/relay/internal/relaycall.h
@@ -54,6 +54,8 @@
     [[nodiscard]] bool streams() const;
     [[nodiscard]] bool isIdempotent() const;
     [[nodiscard]] Milliseconds timeLeft() const;
+    /// Until the caller of a stream leaves that has seen nothing of it.
+    [[nodiscard]] Milliseconds callerLeavesIn() const;
     [[nodiscard]] Milliseconds patience() const;
 
     RelayService &service_;
--- a/persimmonlb/relay/relayservice.h
+++ b/persimmonlb/relay/relayservice.h
@@ -21,6 +21,13 @@
     /// From the sending to the first event at the caller, when nothing waits: an engine's first
     /// step and the network. A slot granted later than the objective less this is too late.
     Milliseconds firstEventAllowance{80};
+    /// Callers of streams leave when they have seen no event for this long, or for these multiples
+    /// of their objective and of the longest pause that they allow, whichever is longest.
+    Milliseconds streamPatience{2000};
+    /// Kept of that for a refusal: its caller must hear it while it still waits, to come back.
+    Milliseconds refusalMargin{400};
+    int patienceObjectives = 4;
+    int patiencePauses = 8;
     /// An engine that shows no first event for so long is left for another one.
     Milliseconds firstEventPatience{900};
     /// Likewise between two events. Callers leave after 2 s at the earliest.
--- a/persimmonlb/relay/relayservice_test.cpp
+++ b/persimmonlb/relay/relayservice_test.cpp
@@ -539,4 +539,28 @@
     BOOST_TEST(bench.caller->status == 503);
 }
 
+/// Sustained overload: callers of streams leave 2 s after they asked, long before their deadlines.
+BOOST_AUTO_TEST_CASE(AStreamThatFindsNoSlotIsRefusedBeforeItsCallerLeaves)
+{
+    Bench bench;
+    for (int held = 0; held < 12; ++held) {
+        bench.relay(RouteKind::Streaming, true);
+        bench.head(200);
+        bench.chunk(event(1));
+    }
+    bench.pass(700);
+    bench.caller = std::make_shared<FakeResponder>();
+    bench.relay(RouteKind::Streaming, true);
+    for (int step = 0; step < 80 && !bench.caller->ended; ++step) {
+        bench.pass(20);
+        // The others go on all the while.
+        for (std::size_t held = 0; held < 12; ++held) {
+            bench.sendings[held]->hooks.chunk(event(step + 2));
+        }
+    }
+    BOOST_TEST(bench.sendings.size() == 12U);
+    BOOST_TEST(bench.caller->ended);
+    BOOST_TEST(bench.caller->status == 503);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
