--- a/persimmonlb/agreement/internal/election.h
+++ b/persimmonlb/agreement/internal/election.h
@@ -34,7 +34,7 @@
 private:
     [[nodiscard]] bool mayCampaign() const;
     [[nodiscard]] bool withholdsVotes(const HostId &candidate) const;
-    /// No leader was heard of since the start, and none may be known by the missing of a lease.
+    /// This member does not lead, and has heard of no leader since its process started.
     [[nodiscard]] bool knowsOfNoLeader() const;
     /// Members that must say that they know of no leader; nothing when that would not suffice.
     [[nodiscard]] std::optional<std::set<HostId>> membersToAsk() const;
--- a/persimmonlb/fleet/leavingservers.cpp
+++ b/persimmonlb/fleet/leavingservers.cpp
@@ -26,9 +26,4 @@
     return starts_.contains(Start(server, bornMs));
 }
 
-bool LeavingServers::empty() const
-{
-    return starts_.empty();
-}
-
 } // namespace persimmonlb
--- a/persimmonlb/fleet/leavingservers.h
+++ b/persimmonlb/fleet/leavingservers.h
@@ -22,7 +22,6 @@
     /// False when it was known before.
     bool note(const ServerId &server, std::uint64_t bornMs);
     [[nodiscard]] bool contains(const ServerId &server, std::uint64_t bornMs) const;
-    [[nodiscard]] bool empty() const;
 
 private:
     using Start = std::pair<ServerId, std::uint64_t>;
--- a/persimmonlb/fleet/leavingservers_test.cpp
+++ b/persimmonlb/fleet/leavingservers_test.cpp
@@ -45,7 +45,6 @@
 BOOST_AUTO_TEST_CASE(OneStartIsNotAnother)
 {
     LeavingServers leaving;
-    BOOST_TEST(leaving.empty());
     BOOST_TEST(leaving.note(id, 7));
     BOOST_TEST(!leaving.note(id, 7));
     BOOST_TEST(leaving.contains(id, 7));
