--- a/persimmonlb/store/guardedfiles.cpp
+++ b/persimmonlb/store/guardedfiles.cpp
@@ -21,8 +21,8 @@
         return IOStatus::OK();
     }
     IOStatus status = make();
-    // A missing file is an answer that RocksDB asks for, no trouble of the disk.
-    if (status.ok() || status.IsPathNotFound() || status.IsNotFound()) {
+    // What is missing or not supported is an answer that RocksDB asks for, no trouble of the disk.
+    if (status.ok() || status.IsPathNotFound() || status.IsNotFound() || status.IsNotSupported()) {
         return status;
     }
     failure.note(status.ToString());
@@ -266,8 +266,7 @@
 IOStatus GuardedFiles::LinkFile(const std::string &from, const std::string &to,
                                 const IOOptions &options, IODebugContext *debug)
 {
-    // RocksDB asks whether links are supported and does without.
-    return failure_->happened() ? IOStatus::OK() : target()->LinkFile(from, to, options, debug);
+    return change(*failure_, [&] { return target()->LinkFile(from, to, options, debug); });
 }
 
 } // namespace persimmonlb::internal
