--- a/persimmonlb/store/diskstore_test.cpp
+++ b/persimmonlb/store/diskstore_test.cpp
@@ -63,8 +63,10 @@
     rocksdb::IOStatus Append(const rocksdb::Slice &data, const rocksdb::IOOptions &options,
                              rocksdb::IODebugContext *debug) override
     {
-        return full_ ? rocksdb::IOStatus::NoSpace("disk full")
-                     : target()->Append(data, options, debug);
+        if (full_) {
+            return rocksdb::IOStatus::NoSpace();
+        }
+        return target()->Append(data, options, debug);
     }
     rocksdb::IOStatus Append(const rocksdb::Slice &data, const rocksdb::IOOptions &options,
                              const rocksdb::DataVerificationInfo & /*info*/,
