Election makes its requests in one place, the slot broker says once which servers are usable

Reading of the whole change: the question after a start repeated the fields of a vote request; three loops each said that a server neither drains nor rests. The comment of leaderHeard said that an own leadership counts, which it never did. Behaviour as before: agreement_test, faultmatrix_test, slots_test, slot_trial_test green.

--- a/persimmonlb/agreement/election.cpp
+++ b/persimmonlb/agreement/election.cpp
@@ -66,12 +66,7 @@
     }
     withoutLeader_.clear();
     for (const HostId &member : *asked) {
-        core_.send(member,
-                   VoteRequest{.term = core_.term() + 1,
-                               .preVote = true,
-                               .afterStart = true,
-                               .lastLogIndex = core_.lastIndex(),
-                               .lastLogTerm = core_.lastTerm()});
+        core_.send(member, makeRequest(true, true));
     }
 }
 
@@ -119,15 +114,20 @@
     count(core_.options.self);
 }
 
-void Election::askForVotes(bool preVote)
+VoteRequest Election::makeRequest(bool preVote, bool afterStart) const
 {
-    const VoteRequest request{
+    return {
         .term = preVote ? core_.term() + 1 : core_.term(),
         .preVote = preVote,
-        .afterStart = afterStart_,
+        .afterStart = afterStart,
         .lastLogIndex = core_.lastIndex(),
         .lastLogTerm = core_.lastTerm(),
     };
+}
+
+void Election::askForVotes(bool preVote)
+{
+    const VoteRequest request = makeRequest(preVote, afterStart_);
     for (const Member &member : core_.configurations().latest().members) {
         if (!member.voter || member.host == core_.options.self) {
             continue;
@@ -202,13 +202,12 @@
         }
         return;
     }
-    if (reply.preVote && core_.role() == Role::Follower && knowsOfNoLeader()
-        && reply.term == core_.term() + 1) {
+    const bool isPreVote = reply.preVote && reply.term == core_.term() + 1;
+    if (isPreVote && core_.role() == Role::Follower && knowsOfNoLeader()) {
         countAfterStart(from);
         return;
     }
-    const bool preVoteCounts
-        = reply.preVote && core_.role() == Role::PreCandidate && reply.term == core_.term() + 1;
+    const bool preVoteCounts = isPreVote && core_.role() == Role::PreCandidate;
     const bool voteCounts
         = !reply.preVote && core_.role() == Role::Candidate && reply.term == core_.term();
     if (preVoteCounts || voteCounts) {
--- a/persimmonlb/agreement/internal/core.h
+++ b/persimmonlb/agreement/internal/core.h
@@ -81,7 +81,8 @@
     std::uint64_t commitIndex = 0;
     std::uint64_t appliedIndex = 0;
     std::optional<HostId> leader;
-    bool leaderHeard = false; ///< Since the start of this process, itself included.
+    /// Another member was heard to lead since the start of this process.
+    bool leaderHeard = false;
     MonotonicTime leaderHeardAt; ///< Votes are withheld for electionTimeoutMin from here.
     MonotonicTime electionDeadline;
 
--- a/persimmonlb/agreement/internal/election.h
+++ b/persimmonlb/agreement/internal/election.h
@@ -45,6 +45,7 @@
     void answerPreVote(const HostId &from, const VoteRequest &request);
     void answerVote(const HostId &from, const VoteRequest &request);
     void becomeCandidate();
+    [[nodiscard]] VoteRequest makeRequest(bool preVote, bool afterStart) const;
     void askForVotes(bool preVote);
     void count(const HostId &voter);
 
--- a/persimmonlb/slots/slotbroker.h
+++ b/persimmonlb/slots/slotbroker.h
@@ -185,6 +185,8 @@
         std::vector<MonotonicTime> grants;
     };
 
+    /// Neither drains nor rests.
+    [[nodiscard]] static bool isUsable(const Server &server, MonotonicTime now);
     [[nodiscard]] static bool takes(const Server &server, std::uint64_t tokens, MonotonicTime now);
     [[nodiscard]] static std::uint32_t slotsOf(const Server &server);
     /// Requests of senders that are gone, as far as it is known.
--- a/persimmonlb/slots/slotchoice.cpp
+++ b/persimmonlb/slots/slotchoice.cpp
@@ -45,12 +45,14 @@
     return server.online + server.batch + foreignOf(server, now);
 }
 
+bool SlotBroker::isUsable(const Server &server, MonotonicTime now)
+{
+    return !server.info.draining && now >= server.restsUntil;
+}
+
 bool SlotBroker::takes(const Server &server, std::uint64_t tokens, MonotonicTime now)
 {
-    if (server.info.draining || now < server.restsUntil) {
-        return false;
-    }
-    if (takenOf(server, now) >= slotsOf(server)) {
+    if (!isUsable(server, now) || takenOf(server, now) >= slotsOf(server)) {
         return false;
     }
     const std::uint64_t room = server.capacity.cacheTokens;
@@ -131,7 +133,7 @@
     const MonotonicTime now = clock_.monotonic();
     std::uint32_t slots = 0;
     for (const Server *server : serversOf(service)) {
-        if (!server->info.draining && now >= server->restsUntil) {
+        if (isUsable(*server, now)) {
             slots += slotsOf(*server);
         }
     }
@@ -143,7 +145,7 @@
     const MonotonicTime now = clock_.monotonic();
     SlotUsage usage;
     for (const Server *server : serversOf(service)) {
-        const bool usable = !server->info.draining && now >= server->restsUntil;
+        const bool usable = isUsable(*server, now);
         ++usage.servers;
         usage.unusable += usable ? 0 : 1;
         usage.slots += usable ? slotsOf(*server) : 0;
