--- a/persimmonlb/agreement/agreement_test.cpp
+++ b/persimmonlb/agreement/agreement_test.cpp
@@ -218,10 +218,7 @@
         const HostId leads = group.leading();
         group.startCallers();
         group.scheduler.runFor(Milliseconds(200));
-        for (const HostId &host : group.hosts()) {
-            group.network.cutOneWay(leads, host);
-            group.network.cutOneWay(host, leads);
-        }
+        group.isolate(leads);
         group.settle();
         BOOST_TEST((group.leading() != leads));
         group.network.heal();
@@ -289,10 +286,7 @@
 {
     const HostId leads = leading();
     const HostId other = following();
-    for (const HostId &host : hosts()) {
-        network.cutOneWay(leads, host);
-        network.cutOneWay(host, leads);
-    }
+    isolate(leads);
     propose(leads);
     const std::uint64_t earlier = agreement(leads).status().lastIndex;
     while (agreement(leads).status().role != Role::PreCandidate) {
--- a/persimmonlb/agreement/election_test.cpp
+++ b/persimmonlb/agreement/election_test.cpp
@@ -68,9 +68,8 @@
         const HostId leads = group.leading();
         group.startCallers();
         group.scheduler.runFor(Milliseconds(200));
+        group.isolate(leads);
         for (const HostId &host : group.hosts()) {
-            group.network.cutOneWay(leads, host);
-            group.network.cutOneWay(host, leads);
             if (host != leads) {
                 group.crash(host);
                 group.restart(host);
--- a/persimmonlb/agreement/threemembers.h
+++ b/persimmonlb/agreement/threemembers.h
@@ -63,6 +63,15 @@
         return c;
     }
 
+    /// Cuts a member off from all others, both ways.
+    void isolate(const HostId &member)
+    {
+        for (const HostId &host : hosts()) {
+            network.cutOneWay(member, host);
+            network.cutOneWay(host, member);
+        }
+    }
+
     void settle()
     {
         scheduler.runFor(Milliseconds(3000));
