--- a/persimmonlb/agreement/agreement_test.cpp
+++ b/persimmonlb/agreement/agreement_test.cpp
@@ -152,10 +152,7 @@
     const HostId leads = leading();
     const HostId away = following();
     const std::uint64_t term = agreement(leads).status().term;
-    for (const HostId &host : hosts()) {
-        network.cutOneWay(away, host);
-        network.cutOneWay(host, away);
-    }
+    isolate(away);
     settle();
     network.heal();
     settle();
