Process tests: every script holds a loopback network of its own

Seen: process_drain_under_load failed once beside other load with "address_in_use: 127.0.0.1:29081 is in use"; its other two hosts dialled a process of another test at that port.

Cause: free_port drew from one range for all scripts. A port that was free when it was drawn could be bound by another script, or by an outgoing connection, before the host that it was meant for bound it. Only the script that had drawn a port knew of it.

Change: a script takes a /24 network of 127.0.0.0/8 under a file lock that ends with the last process that inherited it, and gives out ports there in order. Two scripts cannot hold the same network, and outgoing connections take their ports at 127.0.0.1. Nothing is tried again.

--- a/scripts/lib/cluster.sh
+++ b/scripts/lib/cluster.sh
@@ -4,19 +4,36 @@
 pids=()
 declare -A pid_of=()
 
-# Prints a TCP port of 127.0.0.1 on which nothing listens. Ports are taken from a range per caller,
-# so that two scripts at once seldom try the same one.
-free_port() {
-  local port
-  while true; do
-    port=$((20000 + (RANDOM * 7 + RANDOM) % 12000))
-    [ -e "$work/port-$port" ] && continue
-    if ! (exec 3<>"/dev/tcp/127.0.0.1/$port") 2>/dev/null; then
-      : >"$work/port-$port"
-      echo "$port"
+# take_network   Takes a /24 network of 127.0.0.0/8 for this script and all that it starts, and sets `net` to its first
+# three numbers and `address` to its first address. No two scripts hold the same one: a network is held by a lock on a
+# file, which ends with the last process that inherited it.
+take_network() {
+  local number folder=/tmp/persimmonlb-networks mask
+  mask=$(umask)
+  umask 0
+  mkdir -p "$folder"
+  for ((number = 0; number < 4096; number++)); do
+    exec {network_lock}>"$folder/$number"
+    if flock -n "$network_lock"; then
+      net=127.$((100 + number / 256)).$((number % 256))
+      address=$net.1
+      umask "$mask"
       return
     fi
+    exec {network_lock}>&-
   done
+  echo "every loopback network is taken" >&2
+  return 1
+}
+take_network
+
+# Prints a TCP port of $address that was not printed before. Nothing else listens there, and outgoing connections take
+# their ports at 127.0.0.1.
+free_port() {
+  local port
+  port=$(cat "$work/next-port" 2>/dev/null || echo 20000)
+  echo $((port + 1)) >"$work/next-port"
+  echo "$port"
 }
 
 write_keys() {
@@ -39,7 +56,7 @@
     echo "roles = $roles"
     echo "data_folder = \"$work/$host/data\""
     echo "[entry]"
-    echo "listen = \"127.0.0.1:$entry_port\""
+    echo "listen = \"$address:$entry_port\""
     echo "answer_ttl_ms = ${answer_ttl_ms:-1000}"
     echo "drain_linger_ms = 200"
     echo "routing_policy = \"${routing_policy:-affinity}\""
@@ -47,14 +64,14 @@
     echo "enabled = ${batch_enabled:-true}"
     echo "yield = ${batch_yield:-true}"
     echo "[mesh]"
-    echo "listen = \"127.0.0.1:$mesh_port\""
+    echo "listen = \"$address:$mesh_port\""
     echo "key_file = \"$work/mesh.key\""
     for peer in "$@"; do
       IFS=: read -r name port control <<<"$peer"
       [ "$name" = "$host" ] && continue
       echo "[[mesh.peer]]"
       echo "host = \"$name\""
-      echo "address = \"127.0.0.1:$port\""
+      echo "address = \"$address:$port\""
       echo "control = $control"
     done
     echo "[keys]"
@@ -126,8 +143,8 @@
   for ((i = 0; i < count; i++)); do
     entry_ports+=("$(free_port)")
     peers+=("host-$i:$(free_port):true")
-    urls+=("http://127.0.0.1:${entry_ports[$i]}")
-    hosts+=${hosts:+,}127.0.0.1:${entry_ports[$i]}
+    urls+=("http://$address:${entry_ports[$i]}")
+    hosts+=${hosts:+,}$address:${entry_ports[$i]}
   done
   for ((i = 0; i < count; i++)); do
     write_settings "host-$i" "${zones[$((i % 4))]}" '["entry", "control"]' "${entry_ports[$i]}" \
@@ -157,7 +174,7 @@
 start_engine() {
   local name=$1
   shift
-  start "$name" "$bin/fakeengine" --listen "127.0.0.1:$(free_port)" --server "$name" \
+  start "$name" "$bin/fakeengine" --listen "$address:$(free_port)" --server "$name" \
     --service lettering-lm --kind engine --announce "$hosts" \
     --backend-key-file "$work/backend.key" --model lettering-7b --version 1 --run-seconds 180 "$@"
 }
@@ -166,7 +183,7 @@
 start_plain() {
   local name=$1
   shift
-  start "$name" "$bin/fakeengine" --listen "127.0.0.1:$(free_port)" --server "$name" \
+  start "$name" "$bin/fakeengine" --listen "$address:$(free_port)" --server "$name" \
     --service booking-app --kind plain --announce "$hosts" \
     --backend-key-file "$work/backend.key" --run-seconds 180 "$@"
 }
