Control client: log copies of a request and answers that come late

The record of the incident of refused jobs that ran cannot distinguish its hypotheses (docs/incidents/refused-job-ran.md): neither copies of a command nor answers that were dropped are logged.

control_request_repeated says that a request was sent a second time, control_request_ended how many copies there were, who answered and whether that host was asked, and control_answer_dropped what an answer said that no request waited for. Two copies that are decided differently show as quota_exceeded in the second line and ok in the third; an answer that belongs to another process shows as asked=no. No logic is changed.

--- a/persimmonlb/control/controlclient.cpp
+++ b/persimmonlb/control/controlclient.cpp
@@ -3,9 +3,27 @@
 #include <algorithm>
 #include <utility>
 
+#include "persimmonlb/base/logline.h"
+
 namespace persimmonlb
 {
 
+namespace
+{
+
+/// The code that a caller of the command or query gets to see.
+ResultCode outcomeOf(const ControlReply &reply)
+{
+    if (reply.code != ResultCode::Ok) {
+        return reply.code;
+    }
+    const auto decoded = decodeReply(reply.payload);
+    const auto *plain = decoded.ok() ? std::get_if<PlainReply>(&decoded.value()) : nullptr;
+    return plain != nullptr ? plain->code : ResultCode::Ok;
+}
+
+} // namespace
+
 ControlClient::ControlClient(ControlClientOptions options, Clock clock, RandomSource random,
                              ControlSend send)
     : options_(std::move(options))
@@ -23,8 +41,8 @@
     auto failed = [done = std::move(done)](Error error) {
         done(std::move(error));
     };
-    add(ProposeRequest{nextRequestId_, encodeCommand(command)}, std::move(answered),
-        std::move(failed));
+    add(ProposeRequest{nextRequestId_, encodeCommand(command)}, commandName(command),
+        std::move(answered), std::move(failed));
 }
 
 void ControlClient::query(const Query &query, std::function<void(Outcome<Answer>)> done)
@@ -35,30 +53,42 @@
     auto failed = [done = std::move(done)](Error error) {
         done(std::move(error));
     };
-    add(QueryRequest{nextRequestId_, encodeQuery(query)}, std::move(answered), std::move(failed));
+    add(QueryRequest{nextRequestId_, encodeQuery(query)}, "query", std::move(answered),
+        std::move(failed));
 }
 
-void ControlClient::add(PeerBody body, std::function<void(const ControlReply &)> answered,
+void ControlClient::add(PeerBody body, std::string_view name,
+                        std::function<void(const ControlReply &)> answered,
                         std::function<void(Error)> failed)
 {
     const MonotonicTime now = clock_.monotonic();
     Request request{.body = std::move(body),
+                    .name = name,
                     .answered = std::move(answered),
                     .failed = std::move(failed),
                     .deadline = now + options_.deadline,
                     .nextAttempt = now,
                     .target = leader_.empty() ? anyControlHost() : leader_,
-                    .mayHaveArrived = false};
+                    .sentTo = {},
+                    .copies = 0};
     const auto position = requests_.emplace(nextRequestId_++, std::move(request)).first;
-    attempt(position->second);
+    attempt(position->first, position->second);
 }
 
-void ControlClient::attempt(Request &request)
+void ControlClient::attempt(std::uint64_t id, Request &request)
 {
     const bool sent = send_(request.target, request.body);
     const MonotonicTime now = clock_.monotonic();
     if (sent) {
-        request.mayHaveArrived = true;
+        request.sentTo.insert(request.target);
+        ++request.copies;
+        if (request.copies == 2) {
+            LogLine(LogLevel::Info, "control_request_repeated")
+                .add("id", static_cast<std::int64_t>(id))
+                .add("kind", request.name)
+                .add("to", request.target.value)
+                .write();
+        }
         request.nextAttempt = now + options_.attemptTimeout;
         return;
     }
@@ -94,6 +124,11 @@
 {
     const auto position = requests_.find(reply.requestId);
     if (position == requests_.end()) {
+        LogLine(LogLevel::Info, "control_answer_dropped")
+            .add("id", static_cast<std::int64_t>(reply.requestId))
+            .add("from", from.value)
+            .add("outcome", describe(outcomeOf(reply)).name)
+            .write();
         return;
     }
     Request &request = position->second;
@@ -104,7 +139,7 @@
         if (!reply.leader.empty() && reply.leader != from) {
             leader_ = reply.leader;
             request.target = reply.leader;
-            attempt(request);
+            attempt(position->first, request);
             return;
         }
         chooseOtherTarget(request);
@@ -117,8 +152,19 @@
         return;
     }
     leader_ = from;
+    const std::uint64_t id = position->first;
     const Request finished = std::move(request);
     requests_.erase(position);
+    if (finished.copies > 1 || !finished.sentTo.contains(from)) {
+        LogLine(LogLevel::Info, "control_request_ended")
+            .add("id", static_cast<std::int64_t>(id))
+            .add("kind", finished.name)
+            .add("from", from.value)
+            .add("asked", finished.sentTo.contains(from) ? "yes" : "no")
+            .add("copies", finished.copies)
+            .add("outcome", describe(outcomeOf(reply)).name)
+            .write();
+    }
     if (reply.code == ResultCode::Ok) {
         finished.answered(reply);
         return;
@@ -138,15 +184,15 @@
             continue;
         }
         if (request.nextAttempt <= now) {
-            if (request.mayHaveArrived) {
+            if (request.copies > 0) {
                 chooseOtherTarget(request);
             }
-            attempt(request);
+            attempt(position->first, request);
         }
         ++position;
     }
     for (const Request &request : expired) {
-        if (request.mayHaveArrived) {
+        if (request.copies > 0) {
             request.failed(makeError(ResultCode::NoQuorum, "no answer from the control group"));
             continue;
         }
--- a/persimmonlb/control/controlclient.h
+++ b/persimmonlb/control/controlclient.h
@@ -4,6 +4,8 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
+#include <string_view>
 #include <vector>
 
 #include "persimmonlb/base/clock.h"
@@ -28,6 +30,10 @@
 
 /// Sends commands and queries to the leader of the control group, wherever it is.
 ///
+/// Logs `control_request_repeated` when a request is sent a second time, `control_request_ended`
+/// for a request with several copies, and `control_answer_dropped` for an answer that no request
+/// waits for.
+///
 /// Follows leader hints, tries another control host after a timeout, and repeats a request until
 /// its deadline. That is safe because every command is idempotent by its own identifiers. Each
 /// `done` is called exactly once, from receive() or tick(). Not thread-safe.
@@ -57,17 +63,19 @@
 private:
     struct Request {
         PeerBody body;
+        std::string_view name; ///< Of the command or query, for the log.
         std::function<void(const ControlReply &)> answered;
         std::function<void(Error)> failed;
         MonotonicTime deadline;
         MonotonicTime nextAttempt;
         HostId target;
-        bool mayHaveArrived = false;
+        std::set<HostId> sentTo; ///< Hosts that a copy was sent to.
+        std::uint32_t copies = 0;
     };
 
-    void add(PeerBody body, std::function<void(const ControlReply &)> answered,
-             std::function<void(Error)> failed);
-    void attempt(Request &request);
+    void add(PeerBody body, std::string_view name,
+             std::function<void(const ControlReply &)> answered, std::function<void(Error)> failed);
+    void attempt(std::uint64_t id, Request &request);
     void chooseOtherTarget(Request &request);
     [[nodiscard]] HostId anyControlHost() const;
 
--- a/persimmonlb/state/command.cpp
+++ b/persimmonlb/state/command.cpp
@@ -266,6 +266,15 @@
 template <>
 inline constexpr std::string_view typeName<FencingReply> = "fencing_reply";
 
+std::string_view commandName(const Command &command)
+{
+    return std::visit(
+        [](const auto &value) -> std::string_view {
+            return typeName<std::decay_t<decltype(value)>>;
+        },
+        command);
+}
+
 std::string encodeCommand(const Command &command)
 {
     return encodeVariant(command);
--- a/persimmonlb/state/command.h
+++ b/persimmonlb/state/command.h
@@ -348,6 +348,8 @@
 using Reply = std::variant<PlainReply, SheetReply, JobReply, LeaseReply, CompleteReply, ClaimReply,
                            FencingReply>;
 
+/// Name of the command's type, for logs and metrics.
+std::string_view commandName(const Command &command);
 std::string encodeCommand(const Command &command);
 /// Errors: MalformedRequest.
 Outcome<Command> decodeCommand(std::string_view bytes);
