--- a/persimmonlb/state/testing/stateharness.h
+++ b/persimmonlb/state/testing/stateharness.h
@@ -66,12 +66,18 @@
 
     /// Applies a command and writes its changes.
     Reply applyAny(const Command &command)
+    {
+        return decodeReply(applyEncoded(encodeCommand(command))).value();
+    }
+
+    /// Applies a command as the log holds it, writes its changes and returns the encoded reply.
+    std::string applyEncoded(std::string_view command)
     {
         ++index_;
         MutationList changes;
-        const std::string reply = state_->machine().apply(index_, encodeCommand(command), changes);
+        std::string reply = state_->machine().apply(index_, command, changes);
         store.write(changes);
-        return decodeReply(reply).value();
+        return reply;
     }
 
     /// Applies a command whose reply type is known.
--- a/scripts/lib/cluster.sh
+++ b/scripts/lib/cluster.sh
@@ -268,3 +268,94 @@
   wait_for 20 ctl sheet apply examples/sheet.toml
   wait_for 30 sheet_in_force
 }
+
+# ---- persimmonlb-node: hosts of a fleet, each with an address of its own in $net -------------------------------------
+
+control_port=20001
+caller_port=20002
+readiness_port=20003
+
+# node_address NAME   Prints the address of a host: store-N is $net.(10 + N), entry-N is $net.(100 + N).
+node_address() {
+  local number=${1##*-}
+  case $1 in
+    store-*) echo "$net.$((10 + number))" ;;
+    entry-*) echo "$net.$((100 + number))" ;;
+  esac
+}
+
+# write_node NAME STORES MAY_FORM   Settings of a host of a fleet whose storage hosts are store-0 to store-(STORES-1).
+write_node() {
+  local name=$1 stores=$2 may_form=$3 ip takes=false keeps=false i seeds=
+  ip=$(node_address "$name")
+  case $name in store-*) keeps=true ;; *) takes=true ;; esac
+  for ((i = 0; i < stores && i < 3; i++)); do
+    seeds+="${seeds:+, }\"$(node_address "store-$i"):$control_port\""
+  done
+  mkdir -p "$work/$name"
+  {
+    echo "[host]"
+    echo "ip = \"$ip\""
+    echo "name = \"$name\""
+    echo "region = \"sw-ng\""
+    echo "availability_zone = \"ife-a\""
+    echo "takes_callers = $takes"
+    echo "stores = $keeps"
+    echo "data_folder = \"$work/$name/data\""
+    echo "[listen]"
+    echo "callers = \"$([ $takes = true ] && echo "$ip:$caller_port")\""
+    echo "readiness = \"$([ $takes = true ] && echo "$ip:$readiness_port")\""
+    echo "control = \"$([ $keeps = true ] && echo "$ip:$control_port")\""
+    echo "[mesh]"
+    echo "port = 20000"
+    echo "key = \"fleet of a test\""
+    echo "[fleet]"
+    echo "seeds = [$seeds]"
+    echo "may_form = $may_form"
+    echo "losses_borne = ${losses_borne:-1}"
+    echo "answer_ttl_ms = 2000"
+    echo "stop_grace_s = 8"
+    echo "results_kept_s = 120"
+    echo "[log]"
+    echo "level = \"${log_level:-info}\""
+  } >"$work/$name/settings.toml"
+}
+
+start_node() {
+  start "$1" "$bin/persimmonlb-node" --settings "$work/$1/settings.toml"
+}
+
+# node_ready NAME   True when an entry host takes callers.
+node_ready() {
+  curl -sf --max-time 2 "http://$(node_address "$1"):$readiness_port/persimmonlb/readiness"
+}
+
+# routes_taken FILE   True when a storage host acknowledges the routes of a file.
+routes_taken() {
+  curl -sf --max-time 3 -X PUT -H "Content-Type: application/json" --data-binary "@$1" \
+    "http://$(node_address store-0):$control_port/persimmonlb/configuration"
+}
+
+# start_nodes STORES ENTRIES ROUTES   Starts the hosts of a fleet and puts the routes of a file in force.
+start_nodes() {
+  local stores=$1 entries=$2 routes=$3 i
+  for ((i = 0; i < stores; i++)); do
+    write_node "store-$i" "$stores" true
+    start_node "store-$i"
+  done
+  for ((i = 0; i < entries; i++)); do
+    write_node "entry-$i" "$stores" true
+    start_node "entry-$i"
+  done
+  wait_for "$start_patience" routes_taken "$routes" || return 1
+  for ((i = 0; i < entries; i++)); do
+    wait_for "$start_patience" node_ready "entry-$i" || return 1
+  done
+}
+
+# node_leader   Prints the name of the storage host that started to lead last, as the logs say.
+node_leader() {
+  grep -h 'event=became_leader' "$work"/store-*.log >/dev/null || return 1
+  grep -H 'event=became_leader' "$work"/store-*.log | sed 's#^.*/\(store-[0-9]*\)\.log:\([^ ]*\).*#\2 \1#' | sort | tail -n 1 \
+    | cut -d' ' -f2
+}
