Control client: copies of a command are applied once

Callers saw: a bulk job answered with 429 ("not run, and never will be") at every try, and its items ran.

Cause: at-least-once delivery of commands that are idempotent only when they were accepted. The client sends a command again after 0.3 s without an answer and after each "not the leader", and each copy that reached a leader became a log entry with a decision of its own. The first copy was refused for the waiting tokens and that answer went to the caller; items ended or a job was ended in between, and a later copy was accepted. A leader that stood still or lost its followers makes copies, which is when the record shows the refusals.

Fix: a command bears its origin (a random session of the client, a sequence number, and the oldest command the client still waits for), the same in all copies. The replicated state keeps the reply of each command until its client does not wait for it any more, answers copies with it, and applies none that the client gave up. This holds for every command of every client, on the own interface too: submissions, ends and cancellations, claims, drains. Sessions are bounded by number and by use, not by a clock.

--- a/persimmonlb/control/controlclient.cpp
+++ b/persimmonlb/control/controlclient.cpp
@@ -22,6 +22,12 @@
     return plain != nullptr ? plain->code : ResultCode::Ok;
 }
 
+/// A number that no other client has, other than 0.
+std::uint64_t makeSession(const RandomSource &random)
+{
+    return std::max<std::uint64_t>(random(), 1);
+}
+
 } // namespace
 
 ControlClient::ControlClient(ControlClientOptions options, Clock clock, RandomSource random,
@@ -30,6 +36,7 @@
     , clock_(std::move(clock))
     , random_(std::move(random))
     , send_(std::move(send))
+    , session_(makeSession(random_))
 {
 }
 
@@ -41,7 +48,7 @@
     auto failed = [done = std::move(done)](Error error) {
         done(std::move(error));
     };
-    add(ProposeRequest{nextRequestId_, encodeCommand(command)}, commandName(command),
+    add(ProposeRequest{nextRequestId_, encodeCommand(command, nextOrigin())}, commandName(command),
         std::move(answered), std::move(failed));
 }
 
@@ -75,6 +82,14 @@
     attempt(position->first, position->second);
 }
 
+CommandOrigin ControlClient::nextOrigin() const
+{
+    return CommandOrigin{.session = session_,
+                         .sequence = nextRequestId_,
+                         .oldestPending
+                         = requests_.empty() ? nextRequestId_ : requests_.begin()->first};
+}
+
 void ControlClient::attempt(std::uint64_t id, Request &request)
 {
     const bool sent = send_(request.target, request.body);
--- a/persimmonlb/control/controlclient.h
+++ b/persimmonlb/control/controlclient.h
@@ -35,8 +35,9 @@
 /// waits for.
 ///
 /// Follows leader hints, tries another control host after a timeout, and repeats a request until
-/// its deadline. That is safe because every command is idempotent by its own identifiers. Each
-/// `done` is called exactly once, from receive() or tick(). Not thread-safe.
+/// its deadline. All copies of a command bear the same origin, by which the replicated state
+/// applies one of them alone. Each `done` is called exactly once, from receive() or tick(). Not
+/// thread-safe.
 ///
 /// Errors given to `done`: NoQuorum (outcome not known), PeerUnreachable (surely not sent), or the
 /// error that the leader answered.
@@ -75,6 +76,7 @@
 
     void add(PeerBody body, std::string_view name,
              std::function<void(const ControlReply &)> answered, std::function<void(Error)> failed);
+    [[nodiscard]] CommandOrigin nextOrigin() const;
     void attempt(std::uint64_t id, Request &request);
     void chooseOtherTarget(Request &request);
     [[nodiscard]] HostId anyControlHost() const;
@@ -84,6 +86,7 @@
     RandomSource random_;
     ControlSend send_;
     HostId leader_;
+    std::uint64_t session_;
     std::uint64_t nextRequestId_ = 1;
     std::map<std::uint64_t, Request> requests_;
 };
--- a/persimmonlb/state/cborvariant.h
+++ b/persimmonlb/state/cborvariant.h
@@ -18,7 +18,7 @@
 inline constexpr std::string_view typeName = Struct::undefined;
 
 template <typename... Alternatives>
-std::string encodeVariant(const std::variant<Alternatives...> &variant)
+Cbor variantEnvelope(const std::variant<Alternatives...> &variant)
 {
     return std::visit(
         [](const auto &value) {
@@ -26,11 +26,17 @@
             Cbor envelope = Cbor::object();
             envelope.push_back({"type", std::string(typeName<Value>)});
             envelope.push_back({"body", toCbor(value)});
-            return cborBytes(envelope);
+            return envelope;
         },
         variant);
 }
 
+template <typename... Alternatives>
+std::string encodeVariant(const std::variant<Alternatives...> &variant)
+{
+    return cborBytes(variantEnvelope(variant));
+}
+
 /// Reads `body` as `Alternative` when `type` names it; false leaves `variant` unchanged.
 template <typename Alternative, typename Variant>
 bool decodeAlternative(std::string_view type, const Cbor &body, Variant &variant)
@@ -46,14 +52,13 @@
     return true;
 }
 
-/// Reads what encodeVariant() wrote. Errors: MalformedRequest. Never throws.
+/// Reads what variantEnvelope() gave. Errors: MalformedRequest. Never throws.
 template <typename... Alternatives>
 Outcome<std::variant<Alternatives...>>
-decodeVariant(std::string_view bytes, std::type_identity<std::variant<Alternatives...>> /*type*/)
+decodeVariant(const Cbor &envelope, std::type_identity<std::variant<Alternatives...>> /*type*/)
 {
     const Error malformed
         = makeError(ResultCode::MalformedRequest, "not a message of a known type");
-    const Cbor envelope = parseCbor(bytes);
     if (!envelope.is_object()) {
         return malformed;
     }
--- a/persimmonlb/state/command.cpp
+++ b/persimmonlb/state/command.cpp
@@ -7,6 +7,16 @@
 namespace persimmonlb
 {
 
+constexpr const char *originField = "origin";
+
+template <typename Visitor, Like<CommandOrigin> Value>
+void visitFields(Visitor &visitor, Value &value)
+{
+    visitor("session", value.session);
+    visitor("sequence", value.sequence);
+    visitor("oldestPending", value.oldestPending);
+}
+
 template <>
 inline constexpr ItemOutcomeKind lastEnumerator<ItemOutcomeKind> = ItemOutcomeKind::NotRun;
 
@@ -275,14 +285,33 @@
         command);
 }
 
-std::string encodeCommand(const Command &command)
+std::string encodeCommand(const Command &command, const CommandOrigin &origin)
+{
+    Cbor envelope = variantEnvelope(command);
+    if (origin.session != 0) {
+        envelope.push_back({originField, toCbor(origin)});
+    }
+    return cborBytes(envelope);
+}
+
+Outcome<LoggedCommand> decodeLoggedCommand(std::string_view bytes)
 {
-    return encodeVariant(command);
+    const Cbor envelope = parseCbor(bytes);
+    auto command = decodeVariant(envelope, std::type_identity<Command>{});
+    if (!command.ok()) {
+        return command.error();
+    }
+    LoggedCommand logged{.command = std::move(command.value()), .origin = {}};
+    const auto origin = envelope.find(originField);
+    if (origin != envelope.end() && !fromCbor(*origin, logged.origin)) {
+        return makeError(ResultCode::MalformedRequest, "a command whose origin is unreadable");
+    }
+    return logged;
 }
 
 Outcome<Command> decodeCommand(std::string_view bytes)
 {
-    return decodeVariant(bytes, std::type_identity<Command>{});
+    return decodeVariant(parseCbor(bytes), std::type_identity<Command>{});
 }
 
 std::string encodeReply(const Reply &reply)
@@ -292,7 +321,7 @@
 
 Outcome<Reply> decodeReply(std::string_view bytes)
 {
-    return decodeVariant(bytes, std::type_identity<Reply>{});
+    return decodeVariant(parseCbor(bytes), std::type_identity<Reply>{});
 }
 
 } // namespace persimmonlb
--- a/persimmonlb/state/command.h
+++ b/persimmonlb/state/command.h
@@ -14,8 +14,12 @@
 #include "persimmonlb/state/fleetcommand.h"
 
 /// Typed commands of the replicated log and their replies. Each is an immutable value with
-/// comparison; the codec (CBOR) is in command.cpp. Every command is idempotent by its own
-/// identifiers, so that one whose answer was lost may be proposed again.
+/// comparison; the codec (CBOR) is in command.cpp.
+///
+/// A command that was accepted is idempotent by its own identifiers; one that was refused is not,
+/// as it may be accepted when it is proposed again. A client that sends copies of a command
+/// therefore adds a CommandOrigin, by which all copies get the reply of the first one that is
+/// applied.
 namespace persimmonlb
 {
 
@@ -348,10 +352,31 @@
 using Reply = std::variant<PlainReply, SheetReply, JobReply, LeaseReply, CompleteReply, ClaimReply,
                            FencingReply>;
 
+/// Identifies a client's command over all copies of it.
+struct CommandOrigin {
+    std::uint64_t session = 0; ///< One client of one process; 0: the command has no origin.
+    std::uint64_t sequence = 0; ///< Increases with each command of a session.
+    /// The client waits for no reply to a command with a lower sequence number. Copies of those are
+    /// not applied any more.
+    std::uint64_t oldestPending = 0;
+
+    bool operator==(const CommandOrigin &) const = default;
+};
+
+/// A command as it stands in the log.
+struct LoggedCommand {
+    Command command;
+    CommandOrigin origin;
+
+    bool operator==(const LoggedCommand &) const = default;
+};
+
 /// Name of the command's type, for logs and metrics.
 std::string_view commandName(const Command &command);
-std::string encodeCommand(const Command &command);
+std::string encodeCommand(const Command &command, const CommandOrigin &origin = {});
 /// Errors: MalformedRequest.
+Outcome<LoggedCommand> decodeLoggedCommand(std::string_view bytes);
+/// Decodes a command without its origin. Errors: MalformedRequest.
 Outcome<Command> decodeCommand(std::string_view bytes);
 std::string encodeReply(const Reply &reply);
 /// Errors: MalformedRequest.
--- a/persimmonlb/state/keys.cpp
+++ b/persimmonlb/state/keys.cpp
@@ -184,6 +184,16 @@
     return prefixed(retiredPrefix, storeName);
 }
 
+std::string session(std::uint64_t session)
+{
+    return prefixed(sessionPrefix, number(session));
+}
+
+std::string decision(std::uint64_t session, std::uint64_t sequence)
+{
+    return prefixed(decisionPrefix, number(session) + number(sequence));
+}
+
 std::string counter(std::string_view name)
 {
     return prefixed("next/", name);
--- a/persimmonlb/state/keys.h
+++ b/persimmonlb/state/keys.h
@@ -37,7 +37,9 @@
 ///   bulkprogress/ID INDEX         what an item without a result has so far
 ///   fleet                         servers that the leader knew last
 ///   retired/NAME                  storage host that was asked to leave
-///   next/NAME                     counters: "job", "fencing", "audit", "entrystate"
+///   session/SESSION               client session: oldest command it waits for, log index of the
+///   last one decision/SESSION SEQUENCE     encoded reply of a client's command next/NAME counters:
+///   "job", "fencing", "audit", "entrystate"
 namespace persimmonlb::keys
 {
 
@@ -74,6 +76,8 @@
 std::string bulkResult(const JobId &id, std::uint32_t position);
 std::string bulkProgress(const JobId &id, std::uint32_t index);
 std::string retired(const std::string &storeName);
+std::string session(std::uint64_t session);
+std::string decision(std::uint64_t session, std::uint64_t sequence);
 
 inline constexpr std::string_view sheetPrefix = "sheet/";
 inline constexpr std::string_view jobPrefix = "job/";
@@ -96,6 +100,8 @@
 inline constexpr std::string_view fleet = "fleet";
 inline constexpr std::string_view bulkJobPrefix = "bulk/";
 inline constexpr std::string_view retiredPrefix = "retired/";
+inline constexpr std::string_view sessionPrefix = "session/";
+inline constexpr std::string_view decisionPrefix = "decision/";
 
 /// Prefixes of one job's keys.
 std::string bodiesOf(std::uint64_t job);
--- a/persimmonlb/state/query.cpp
+++ b/persimmonlb/state/query.cpp
@@ -174,7 +174,7 @@
 
 Outcome<Query> decodeQuery(std::string_view bytes)
 {
-    return decodeVariant(bytes, std::type_identity<Query>{});
+    return decodeVariant(parseCbor(bytes), std::type_identity<Query>{});
 }
 
 std::string encodeAnswer(const Answer &answer)
@@ -184,7 +184,7 @@
 
 Outcome<Answer> decodeAnswer(std::string_view bytes)
 {
-    return decodeVariant(bytes, std::type_identity<Answer>{});
+    return decodeVariant(parseCbor(bytes), std::type_identity<Answer>{});
 }
 
 } // namespace persimmonlb
--- a/persimmonlb/state/replicatedstate.cpp
+++ b/persimmonlb/state/replicatedstate.cpp
@@ -52,6 +52,7 @@
     , fencing_(store)
     , bulk_(store)
     , fleet_(store)
+    , sessions_(store)
 {
 }
 
@@ -59,18 +60,32 @@
 {
     return StateMachine{
         .apply =
-            [this](std::uint64_t /*index*/, std::string_view bytes, MutationList &changes) {
-                const auto command = decodeCommand(bytes);
-                if (!command.ok()) {
-                    return encodeReply(PlainReply{.code = command.error().code,
-                                                  .message = command.error().message});
+            [this](std::uint64_t index, std::string_view bytes, MutationList &changes) {
+                const auto logged = decodeLoggedCommand(bytes);
+                if (!logged.ok()) {
+                    return encodeReply(
+                        PlainReply{.code = logged.error().code, .message = logged.error().message});
                 }
-                return encodeReply(apply(command.value(), changes));
+                return applyLogged(index, logged.value(), changes);
             },
         .reload = [this] { return reload(); },
     };
 }
 
+std::string ReplicatedState::applyLogged(std::uint64_t index, const LoggedCommand &logged,
+                                         MutationList &changes)
+{
+    if (logged.origin.session == 0) {
+        return encodeReply(apply(logged.command, changes));
+    }
+    if (auto reply = sessions_.replyOfCopy(logged.origin)) {
+        return std::move(*reply);
+    }
+    std::string reply = encodeReply(apply(logged.command, changes));
+    sessions_.record(logged.origin, index, reply, changes);
+    return reply;
+}
+
 Reply ReplicatedState::apply(const Command &command, MutationList &changes)
 {
     return std::visit(
@@ -94,6 +109,7 @@
     BOOST_LEAF_CHECK(fencing_.reload());
     BOOST_LEAF_CHECK(bulk_.reload());
     BOOST_LEAF_CHECK(fleet_.reload());
+    BOOST_LEAF_CHECK(sessions_.reload());
     const auto version = store_.get(keys::counter(entryStateCounter));
     entryStateVersion_ = version ? keys::parseNumber(*version).value_or(0) : 0;
     return {};
--- a/persimmonlb/state/replicatedstate.h
+++ b/persimmonlb/state/replicatedstate.h
@@ -13,6 +13,7 @@
 #include "persimmonlb/orders/fencingcounter.h"
 #include "persimmonlb/sheet/sheetregistry.h"
 #include "persimmonlb/state/command.h"
+#include "persimmonlb/state/commandsessions.h"
 #include "persimmonlb/state/fleettable.h"
 #include "persimmonlb/state/hosttable.h"
 #include "persimmonlb/state/quarantinetable.h"
@@ -35,6 +36,9 @@
 /// answered without items, CompleteItems drops all, ClaimRequest is answered as it stands (Running
 /// under the later incarnation when there is no claim), others NotInForce.
 ///
+/// A command with an origin is applied once: each further copy gets the reply of the first one and
+/// changes nothing.
+///
 /// Time comes from the commands alone. Not thread-safe; the object must outlive the hooks that
 /// machine() returns.
 ///
@@ -54,7 +58,7 @@
 
     [[nodiscard]] StateMachine machine();
 
-    /// Applies a decoded command. `changes` must be written before the next one.
+    /// Applies a decoded command without an origin. `changes` must be written before the next one.
     Reply apply(const Command &command, MutationList &changes);
 
     /// Reads the index anew from the state store. Errors: CorruptStore.
@@ -88,6 +92,8 @@
     [[nodiscard]] std::size_t jobMemoryBytes() const;
 
 private:
+    std::string applyLogged(std::uint64_t index, const LoggedCommand &logged,
+                            MutationList &changes);
     Reply applyOne(const ApplySheet &command, MutationList &changes);
     Reply applyOne(const OpenJob &command, MutationList &changes);
     Reply applyOne(const AddItems &command, MutationList &changes);
@@ -129,6 +135,7 @@
     FencingCounter fencing_;
     BulkTable bulk_;
     FleetTable fleet_;
+    CommandSessions sessions_;
     std::uint64_t entryStateVersion_ = 0;
 };
 
