Bulk items are retried however many servers crashed under them

Cause: a bulk item whose runs three servers aborted was blocked like an online request that crashes servers: for 60 s, then 4 times as long each time. Its job is due and abandoned before that.

Fix: an accepted item is owed. Aborted runs neither block it nor list it as a suspect; from the third in a row on they delay its next run, 0.5 s doubling to 4 s, so that an item that does crash servers cannot run on one after the other without a pause.

--- a/persimmonlb/bulk/bulkrunner.h
+++ b/persimmonlb/bulk/bulkrunner.h
@@ -47,6 +47,10 @@
     /// Delay before an item is retried after its server refused it, or sent a stream in which an
     /// event is missing or too long.
     Milliseconds refusalBackoff{100};
+    /// Servers may abort this many runs of an item before further retries are delayed. The delay
+    /// begins at `failureBackoff` and doubles up to `maxAbortBackoff`.
+    std::uint32_t abortsWithoutBackoff = 2;
+    Milliseconds maxAbortBackoff{4000};
     /// Delay before an unconfirmed outcome is proposed again.
     Milliseconds proposalRetryDelay{500};
     /// Added to the time at which a job's items are abandoned: the clock of the host that accepted
@@ -92,6 +96,9 @@
 /// complete before they are due start after those that can. Progress is saved to the replicated
 /// state at intervals, so that another leader resumes from it.
 ///
+/// An accepted item is owed whatever happens to the servers that run it: aborted runs delay its
+/// next run, and neither block it nor count as attempts.
+///
 /// Not thread-safe.
 class BulkRunner
 {
@@ -139,6 +146,7 @@
         std::uint64_t savedEventCount = 0; ///< Events that are saved in the replicated state.
         std::size_t savedBytes = 0; ///< Bytes of `output` that are saved in the replicated state.
         std::uint64_t fingerprint = 0; ///< Identifies the item's request; 0 before its first run.
+        std::uint32_t abortedRuns = 0; ///< Runs without an event that servers ended, in a row.
         MonotonicTime notBefore; ///< Earliest start of the next run.
         ServerId lastServer; ///< Server of the item's latest run from this host.
         MonotonicTime lastRunAt; ///< Time at which that run started or, once it has ended, ended.
@@ -204,6 +212,8 @@
     /// `backoff`.
     void failRun(const ItemKey &key, SlotOutcome outcome, std::string_view why,
                  Milliseconds backoff);
+    /// Counts a run that its server ended without an event and returns the delay of the next one.
+    [[nodiscard]] Milliseconds backoffAfterAbort(Progress &progress) const;
     void completeRun(const ItemKey &key);
     /// Proposes an outcome to the replicated state until it is confirmed. The phase `Waiting` means
     /// a failed attempt; the table dead-letters the item after `maxAttempts` of these.
