Control client: an error for one of several copies does not say "not run"

Found by review, not observed in a run of the system.

Cause: the first error other than "not the leader" ended a command. A leader that has lost its followers and whose queue is full answers a second copy with Overloaded, which promises "not run", while the first copy stands in its log and may still be committed. On the platform's interface the outcome of a submission was unknown (502) in that case already.

Evidence: control_test anErrorForOneOfSeveralCopiesDoesNotSayNotRun failed before and passes now.

Fix: an error that the leader answers keeps its promise only if there was one copy; else its run state is Unknown.

--- a/persimmonlb/control/controlclient.cpp
+++ b/persimmonlb/control/controlclient.cpp
@@ -22,7 +22,7 @@
     return plain != nullptr ? plain->code : ResultCode::Ok;
 }
 
-/// A number that no other client has, other than 0.
+/// A random number other than 0, so that no two clients share a session.
 std::uint64_t makeSession(const RandomSource &random)
 {
     return std::max<std::uint64_t>(random(), 1);
@@ -192,7 +192,12 @@
         finished.answered(reply);
         return;
     }
-    finished.failed(makeError(reply.code, reply.message));
+    Error error = makeError(reply.code, reply.message);
+    if (finished.copies > 1) {
+        // The error speaks of one copy; another one may still be applied.
+        error.run = RunState::Unknown;
+    }
+    finished.failed(std::move(error));
 }
 
 void ControlClient::tick()
--- a/persimmonlb/control/controlclient.h
+++ b/persimmonlb/control/controlclient.h
@@ -36,11 +36,11 @@
 ///
 /// Follows leader hints, tries another control host after a timeout, and repeats a request until
 /// its deadline. All copies of a command bear the same origin, by which the replicated state
-/// applies one of them alone. Each `done` is called exactly once, from receive() or tick(). Not
+/// applies only the first. Each `done` is called exactly once, from receive() or tick(). Not
 /// thread-safe.
 ///
 /// Errors given to `done`: NoQuorum (outcome not known), PeerUnreachable (surely not sent), or the
-/// error that the leader answered.
+/// error that the leader answered, whose run state is Unknown if there are other copies.
 class ControlClient
 {
 public:
--- a/persimmonlb/control/controlclient_test.cpp
+++ b/persimmonlb/control/controlclient_test.cpp
@@ -126,6 +126,23 @@
     BOOST_TEST((bench.sent[0].body == bench.sent[1].body));
 }
 
+// Guards against a refusal of one copy ("overloaded", not run) while an earlier copy may still be
+// applied.
+BOOST_AUTO_TEST_CASE(anErrorForOneOfSeveralCopiesDoesNotSayNotRun)
+{
+    Bench bench;
+    bench.propose();
+    bench.pass(Milliseconds(1000));
+    BOOST_REQUIRE(bench.sent.size() == 2U);
+    bench.reply(b, ResultCode::Overloaded);
+    BOOST_REQUIRE(bench.outcomes.size() == 1U);
+    BOOST_TEST((bench.outcomes[0].error().runState() == RunState::Unknown));
+    bench.propose();
+    bench.reply(b, ResultCode::Overloaded);
+    BOOST_REQUIRE(bench.outcomes.size() == 2U);
+    BOOST_TEST((bench.outcomes[1].error().runState() == RunState::NotRun));
+}
+
 // Guards against an answer to an earlier process of a host that is taken for one to its successor:
 // the request numbers of both began at 1.
 BOOST_AUTO_TEST_CASE(ignoresAnAnswerToAnEarlierProcess)
--- a/persimmonlb/state/keys.h
+++ b/persimmonlb/state/keys.h
@@ -37,9 +37,9 @@
 ///   bulkprogress/ID INDEX         what an item without a result has so far
 ///   fleet                         servers that the leader knew last
 ///   retired/NAME                  storage host that was asked to leave
-///   session/SESSION               client session: oldest command it waits for, log index of the
-///   last one decision/SESSION SEQUENCE     encoded reply of a client's command next/NAME counters:
-///   "job", "fencing", "audit", "entrystate"
+///   session/SESSION               client session: its oldest pending command, its last log index
+///   decision/SESSION SEQUENCE     encoded reply to a client's command
+///   next/NAME                     counters: "job", "fencing", "audit", "entrystate"
 namespace persimmonlb::keys
 {
 
