--- a/persimmonlb/relay/relayservice_test.cpp
+++ b/persimmonlb/relay/relayservice_test.cpp
@@ -385,6 +385,51 @@
     BOOST_TEST(!fixture.caller->ended);
 }
 
+// Guards against an error's text or head inside of a stream, or a broken stream that looks
+// complete: the server that should resume it answers with an error.
+BOOST_AUTO_TEST_CASE(abortsBrokenStreamWhenEachServerThatShouldResumeItAnswersWithAnError)
+{
+    for (const std::uint16_t status : {500, 422, 421, 299}) {
+        Fixture fixture;
+        fixture.relay(RouteKind::Streaming, true);
+        fixture.head(200);
+        fixture.chunk(eventText(1) + "id: 2\nda");
+        fixture.end(ResultCode::StreamBroken);
+        std::size_t answered = 1;
+        while (fixture.sendings.size() > answered) {
+            answered = fixture.sendings.size();
+            fixture.head(status);
+            if (fixture.sendings.size() == answered && !fixture.caller->aborted) {
+                fixture.chunk("the text of an error\n\n");
+                fixture.end(ResultCode::Ok);
+            }
+        }
+        fixture.advance(60000);
+        BOOST_TEST(answered > 1U);
+        BOOST_TEST(fixture.caller->body == eventText(1));
+        BOOST_TEST(fixture.caller->aborted);
+        BOOST_TEST(!fixture.caller->ended);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(goesOnWithBrokenStreamAfterAServerAnsweredWithAnError)
+{
+    Fixture fixture;
+    fixture.relay(RouteKind::Streaming, true);
+    fixture.head(200);
+    fixture.chunk(eventText(1));
+    fixture.end(ResultCode::StreamBroken);
+    fixture.head(421);
+    fixture.chunk("the text of an error\n\n");
+    fixture.end(ResultCode::Ok);
+    BOOST_REQUIRE_EQUAL(fixture.sendings.size(), 3U);
+    fixture.head(200);
+    fixture.chunk(eventText(2));
+    fixture.end(ResultCode::Ok);
+    BOOST_TEST(fixture.caller->body == eventText(1) + eventText(2));
+    BOOST_TEST(fixture.caller->ended);
+}
+
 BOOST_AUTO_TEST_CASE(retriesStreamThatEndsInsideAnEvent)
 {
     Fixture fixture;
