--- a/persimmonlb/relay/internal/relaycall.cpp
+++ b/persimmonlb/relay/internal/relaycall.cpp
@@ -1,6 +1,7 @@
 #include "persimmonlb/relay/internal/relaycall.h"
 
 #include <algorithm>
+#include <sstream>
 #include <utility>
 
 #include "persimmonlb/base/logline.h"
@@ -26,6 +27,17 @@
     return std::min(left, right);
 }
 
+/// Returns the fingerprints as hexadecimal numbers, separated by commas.
+std::string formatFingerprints(const std::vector<std::uint64_t> &fingerprints)
+{
+    std::ostringstream text;
+    text << std::hex;
+    for (const std::uint64_t fingerprint : fingerprints) {
+        text << (text.tellp() > 0 ? "," : "") << fingerprint;
+    }
+    return text.str();
+}
+
 std::uint64_t nonNegativeMs(Milliseconds time)
 {
     return static_cast<std::uint64_t>(std::max<std::int64_t>(0, time.count()));
@@ -290,6 +302,14 @@
 
 void RelayService::Call::reportVerdict(bool aborted)
 {
+    if (aborted) {
+        LogLine(LogLevel::Info, "run_aborted")
+            .add("request", request_.id)
+            .add("server", slot_.server.value)
+            .add("response_began", responseStarted_ ? "yes" : "no")
+            .add("shared_parts", formatFingerprints(request_.sharedParts))
+            .write();
+    }
     if (aborted || service_.hooks_.hasSuspects()) {
         service_.hooks_.runEnded(
             RunVerdict{.fingerprint = fingerprint(), .server = slot_.server, .broken = aborted});
--- a/persimmonlb/relay/relayrequest.h
+++ b/persimmonlb/relay/relayrequest.h
@@ -24,6 +24,9 @@
     Milliseconds callerTimeout{0}; ///< How long the caller waits for the response; zero: unknown.
     std::uint64_t tokens = 0; ///< Of the prompt plus the longest response; 0 if not for an engine.
     std::vector<PromptPart> prompt;
+    /// Fingerprints of the prompt's parts that other requests may share, each independent of the
+    /// parts before it, in order.
+    std::vector<std::uint64_t> sharedParts;
     std::optional<std::uint64_t> lastEventId; ///< Last event that the caller has received.
 
     bool operator==(const RelayRequest &) const = default;
