Crash ledger: parts of prompts that crash servers are found and blocked

Callers of one route saw 502 and cut streams while 26 to 28 servers were lost one after the other: a part of the prompt crashed each server that began to respond to it, and no two requests with it were alike. The ledger identified suspects by path and body only, so none reached its three servers.

Hosts now report the parts that other requests may share with an aborted run, unless its response had begun, and every response that begins on a suspected part, also one that came before they learnt of the suspicion. The leader blocks a part after three incidents (two, if five server processes were lost) with two different requests and no response in between. Of several parts that always occur together it blocks the last: fewer sound requests share it. Reports that find no leader wait for the next one; blocks are saved with the fleet; after a block one host at a time probes.

--- a/persimmonlb/bulk/bulkrunner_test.cpp
+++ b/persimmonlb/bulk/bulkrunner_test.cpp
@@ -471,7 +471,10 @@
     fixture.accept("j", 1);
     fixture.runner.startItems(engine);
     for (const char *server : {"s2", "s3", "s4"}) {
-        fixture.crashes.recordAbortedRun(requestFingerprint("/x", "b"), ServerId{server});
+        fixture.crashes.recordVerdict({.fingerprint = requestFingerprint("/x", "b"),
+                                       .server = ServerId{server},
+                                       .broken = true,
+                                       .bornMs = 1});
     }
     fixture.end(0, ResultCode::BackendFailed);
     fixture.runner.startItems(engine);
--- a/persimmonlb/crashes/crashledger_test.cpp
+++ b/persimmonlb/crashes/crashledger_test.cpp
@@ -20,10 +20,16 @@
         now += time;
         ledger.tick();
     }
+    void recordAbortedRun(std::uint64_t fingerprint, const ServerId &server,
+                          std::uint64_t bornMs = 1)
+    {
+        ledger.recordVerdict(
+            {.fingerprint = fingerprint, .server = server, .broken = true, .bornMs = bornMs});
+    }
     void recordAbortedRuns(const std::vector<ServerId> &servers)
     {
         for (const ServerId &server : servers) {
-            ledger.recordAbortedRun(request, server);
+            recordAbortedRun(request, server);
         }
     }
 
@@ -34,7 +40,7 @@
                         return WallTime();
                     }};
     CrashLedger ledger{CrashLedgerOptions{}, clock};
-    CrashSuspectCache cache{clock};
+    CrashSuspectCache cache{clock, HostId{"e1"}};
 };
 
 } // namespace
@@ -56,6 +62,15 @@
     BOOST_TEST(!ledger.isBlocked(request));
 }
 
+BOOST_AUTO_TEST_CASE(blocksRequestThatThreeStartsOfOneServerAbort)
+{
+    for (const std::uint64_t bornMs : {1, 2, 3}) {
+        BOOST_TEST(!ledger.isBlocked(request));
+        recordAbortedRun(request, s1, bornMs);
+    }
+    BOOST_TEST(ledger.isBlocked(request));
+}
+
 BOOST_AUTO_TEST_CASE(clearsRequestAfterAnswer)
 {
     recordAbortedRuns({s1, s2});
@@ -97,7 +112,7 @@
     const std::size_t maxSuspects = CrashLedgerOptions{}.maxSuspects;
     for (std::uint64_t fingerprint = 1; fingerprint <= maxSuspects + 5; ++fingerprint) {
         now += Milliseconds(1);
-        ledger.recordAbortedRun(fingerprint, s1);
+        recordAbortedRun(fingerprint, s1);
     }
     BOOST_TEST(ledger.suspects().suspects.size() == maxSuspects);
     BOOST_TEST(ledger.suspects().suspects.front().fingerprint == 6U);
@@ -109,7 +124,8 @@
     cache.update(ledger.suspects());
     CrashLedger nextLeaderLedger(CrashLedgerOptions{}, clock);
     nextLeaderLedger.adopt(cache.currentSuspects());
-    nextLeaderLedger.recordAbortedRun(request, s3);
+    nextLeaderLedger.recordVerdict(
+        {.fingerprint = request, .server = s3, .broken = true, .bornMs = 1});
     BOOST_TEST(nextLeaderLedger.isBlocked(request));
 }
 
--- a/persimmonlb/fleet/fleetview.h
+++ b/persimmonlb/fleet/fleetview.h
@@ -48,6 +48,30 @@
     bool operator==(const FleetStore &) const = default;
 };
 
+/// One start of a server.
+struct ServerProcess {
+    ServerId server;
+    std::uint64_t bornMs = 0;
+
+    // NOLINTNEXTLINE(modernize-use-nullptr): reported falsely on a defaulted comparison
+    auto operator<=>(const ServerProcess &) const = default;
+};
+
+/// A request, or a part of prompts, whose runs servers broke off lately.
+struct CrashSuspect {
+    std::uint64_t fingerprint = 0;
+    std::vector<ServerProcess> processes; ///< That broke it off since one answered it last.
+    std::uint32_t blocks = 0; ///< Times that it was blocked.
+    std::uint64_t blockedForMs = 0; ///< From the sending on; 0: it may run.
+    bool isPart = false;
+    std::vector<std::uint64_t> requests = {}; ///< Of a part: the requests that were broken off.
+    std::vector<std::uint64_t> abortAgesMs = {}; ///< Of a part: when, from the sending back.
+    /// After a block: the entry host that may run it once.
+    HostId prober = {};
+
+    bool operator==(const CrashSuspect &) const = default;
+};
+
 /// The whole fleet as one leader sees it. A view with a higher (term, version) replaces another.
 struct FleetView {
     std::uint64_t term = 0; ///< Of the leader.
@@ -57,6 +81,7 @@
     std::vector<FleetServer> servers = {};
     std::vector<FleetEntry> entries = {};
     std::vector<FleetStore> stores = {};
+    std::vector<CrashSuspect> blockedSuspects = {}; ///< Only in the view that the log keeps.
 
     bool operator==(const FleetView &) const = default;
 };
@@ -164,23 +189,18 @@
 
 /// How a server's run of a request ended, told to the leader by the host that sent it.
 struct RunVerdict {
-    std::uint64_t fingerprint = 0; ///< Of the request, see requestFingerprint().
+    std::uint64_t fingerprint = 0; ///< Of the request, see requestFingerprint(); 0: not judged.
     ServerId server;
     bool broken = false; ///< The server broke it off without an answer; else it answered.
+    std::uint64_t bornMs = 0; ///< Which start of the server.
+    /// Parts of the prompt that other requests may share, in order. If `broken`, the server had not
+    /// begun its response; else it had.
+    std::vector<std::uint64_t> parts = {};
+    std::uint64_t ageMs = 0; ///< From the event to the sending.
 
     bool operator==(const RunVerdict &) const = default;
 };
 
-/// A request that servers broke off lately.
-struct CrashSuspect {
-    std::uint64_t fingerprint = 0;
-    std::vector<ServerId> servers; ///< That broke it off since one answered it last.
-    std::uint32_t blocks = 0; ///< Times that it was blocked.
-    std::uint64_t blockedForMs = 0; ///< From the sending on; 0: it may run.
-
-    bool operator==(const CrashSuspect &) const = default;
-};
-
 /// All suspects of a leader, told to every host. A higher (term, version) replaces another.
 struct CrashSuspects {
     std::uint64_t term = 0; ///< Of the leader.
--- a/persimmonlb/fleetnode/gatewayrole.cpp
+++ b/persimmonlb/fleetnode/gatewayrole.cpp
@@ -39,6 +39,8 @@
 GatewayRole::GatewayRole(GatewayRoleDeps deps)
     : deps_(std::move(deps))
     , slots_(SlotClientOptions{.self = deps_.settings.host}, deps_.clock, deps_.random, slotHooks())
+    , verdicts_(RunVerdictReporterOptions{}, deps_.clock, deps_.crashes,
+                [this](const RunVerdict &verdict) { return sendVerdict(verdict); })
     , relay_(RelayOptions{.availabilityZone = deps_.settings.availabilityZone}, deps_.clock,
              deps_.random, slots_, deps_.metrics, relayHooks())
     , drain_(linger(deps_.settings), deps_.clock, drainHooks())
@@ -79,32 +81,28 @@
 
 RelayHooks GatewayRole::relayHooks()
 {
-    return RelayHooks{
-        .codec = deps_.face.codec,
-        .send = sendThrough(deps_.client),
-        .isEngine = [this](const ServiceName &service) { return isEngine(service); },
-        .hasSuspects = [this] { return !deps_.crashes.empty(); },
-        .blockedFor
-        = [this](std::uint64_t fingerprint) { return deps_.crashes.blockedFor(fingerprint); },
-        .runEnded =
-            [this](const RunVerdict &verdict) {
-                tellVerdict(verdict);
-            }};
-}
-
-void GatewayRole::tellVerdict(const RunVerdict &verdict)
+    return RelayHooks{.codec = deps_.face.codec,
+                      .send = sendThrough(deps_.client),
+                      .isEngine = [this](const ServiceName &service) { return isEngine(service); },
+                      .hasSuspects = [this] { return !deps_.crashes.empty(); },
+                      .blockedFor =
+                          [this](const std::vector<std::uint64_t> &fingerprints) {
+                              return deps_.crashes.blockedFor(fingerprints);
+                          },
+                      .requestSent =
+                          [this](const std::vector<std::uint64_t> &fingerprints) {
+                              deps_.crashes.recordSent(fingerprints);
+                          },
+                      .runJudged =
+                          [this](const RunVerdict &verdict) {
+                              verdicts_.record(verdict);
+                          }};
+}
+
+bool GatewayRole::sendVerdict(const RunVerdict &verdict)
 {
-    if (!verdict.broken && !deps_.crashes.isSuspect(verdict.fingerprint)) {
-        return;
-    }
     const HostId &leader = deps_.view().leader;
-    const bool told = !leader.empty() && deps_.send(leader, verdict);
-    if (!told) {
-        LogLine(LogLevel::Warning, "run_verdict_not_told")
-            .add("server", verdict.server.value)
-            .add("broken", verdict.broken ? "yes" : "no")
-            .write();
-    }
+    return !leader.empty() && deps_.send(leader, verdict);
 }
 
 DrainHooks GatewayRole::drainHooks()
@@ -135,7 +133,13 @@
 
 void GatewayRole::viewChanged()
 {
-    slots_.setView(deps_.view());
+    const FleetView &view = deps_.view();
+    slots_.setView(view);
+    if (view.leader != leader_ || view.term != leaderTerm_) {
+        leader_ = view.leader;
+        leaderTerm_ = view.term;
+        verdicts_.leaderChanged();
+    }
 }
 
 void GatewayRole::routesChanged(std::shared_ptr<const RouteTable> routes)
@@ -168,6 +172,7 @@
 void GatewayRole::tick()
 {
     slots_.tick();
+    verdicts_.tick();
     relay_.tick();
     drain_.tick();
 }
--- a/persimmonlb/fleetnode/gatewayrole.h
+++ b/persimmonlb/fleetnode/gatewayrole.h
@@ -8,6 +8,7 @@
 #include "persimmonlb/base/clock.h"
 #include "persimmonlb/base/metrics.h"
 #include "persimmonlb/crashes/crashsuspectcache.h"
+#include "persimmonlb/crashes/runverdictreporter.h"
 #include "persimmonlb/daemon/drain.h"
 #include "persimmonlb/fleet/fleetview.h"
 #include "persimmonlb/fleetnode/fleetface.h"
@@ -27,7 +28,7 @@
     RandomSource random;
     Metrics &metrics;
     HttpClient &client;
-    const CrashSuspectCache &crashes;
+    CrashSuspectCache &crashes;
     std::function<bool(const HostId &to, PeerBody body)> send;
     /// The view of this host.
     std::function<const FleetView &()> view;
@@ -74,7 +75,8 @@
     SlotClientHooks slotHooks();
     RelayHooks relayHooks();
     DrainHooks drainHooks();
-    void tellVerdict(const RunVerdict &verdict);
+    /// Sends to the leader; false if that is impossible now.
+    bool sendVerdict(const RunVerdict &verdict);
     [[nodiscard]] bool isEngine(const ServiceName &service) const;
     [[nodiscard]] bool listedByLeader() const;
     [[nodiscard]] Milliseconds sinceDrain() const;
@@ -82,6 +84,9 @@
     GatewayRoleDeps deps_;
     std::shared_ptr<const RouteTable> routes_;
     SlotClient slots_;
+    RunVerdictReporter verdicts_;
+    HostId leader_; ///< That the verdicts were sent to.
+    std::uint64_t leaderTerm_ = 0;
     RelayService relay_;
     Drain drain_;
     MonotonicTime startedAt_;
--- a/persimmonlb/fleetnode/internal/fleetparts.h
+++ b/persimmonlb/fleetnode/internal/fleetparts.h
@@ -71,7 +71,7 @@
     std::unique_ptr<HttpClient> client;
     ControlClient control;
     FleetView view;
-    CrashSuspectCache crashes{clock};
+    CrashSuspectCache crashes{clock, settings.host};
     std::uint64_t routesVersion = 0;
     std::set<HostId> connected;
     ParentChoice parent;
--- a/persimmonlb/fleetnode/storageleading.cpp
+++ b/persimmonlb/fleetnode/storageleading.cpp
@@ -19,6 +19,8 @@
 constexpr Milliseconds noticeTimeout{700};
 /// Hosts that connected after the last change of the suspects learn of them within this.
 constexpr Milliseconds crashesInterval{1000};
+/// Remaining time of a block after a restart of all storage hosts.
+constexpr std::uint64_t savedBlockMs = 60000;
 /// Changes of the view that come within this travel together, unless a server leaves.
 constexpr Milliseconds viewInterval{150};
 
@@ -153,7 +155,7 @@
         return;
     }
     adoptFleet();
-    crashes_.adopt(deps_.crashes.currentSuspects());
+    adoptSuspects();
     inspector_.begin();
     care_.leadershipBegan(control_->status());
     publishedRegistry_ = 0;
@@ -176,22 +178,44 @@
         return;
     }
     // Started lately: servers announce themselves only each second or so.
-    const Outcome<PeerMessage> saved = decodeMessage(control_->state()->savedFleet());
-    const auto *view = saved.ok() ? std::get_if<FleetView>(&saved.value().body) : nullptr;
-    registry_.adopt(view != nullptr ? *view : last);
+    registry_.adopt(savedView());
+}
+
+void StorageRole::adoptSuspects()
+{
+    CrashSuspects suspects = deps_.crashes.currentSuspects();
+    if (suspects.term == 0) {
+        // Started lately: no other leader has told anything yet.
+        suspects.suspects = savedView().blockedSuspects;
+    }
+    crashes_.adopt(suspects);
+}
+
+FleetView StorageRole::savedView() const
+{
+    Outcome<PeerMessage> saved = decodeMessage(control_->state()->savedFleet());
+    auto *view = saved.ok() ? std::get_if<FleetView>(&saved.value().body) : nullptr;
+    return view != nullptr ? std::move(*view) : FleetView();
 }
 
 void StorageRole::saveFleet()
 {
-    if (registry_.version() == savedRegistry_) {
+    if (registry_.version() == savedRegistry_ && crashes_.version() == savedCrashes_) {
         return;
     }
     savedRegistry_ = registry_.version();
+    savedCrashes_ = crashes_.version();
     FleetView view;
     view.servers = registry_.servers();
     for (FleetServer &server : view.servers) {
         server.sequence = 0;
     }
+    view.blockedSuspects = crashes_.blockedSuspects();
+    for (CrashSuspect &suspect : view.blockedSuspects) {
+        // Ages change all the time; a new leader counts from its own start.
+        suspect.blockedForMs = suspect.blockedForMs > 0 ? savedBlockMs : 0;
+        suspect.abortAgesMs.clear();
+    }
     std::string encoded = encodeMessage(PeerMessage{defaultGroup, std::move(view), {}, {}});
     if (encoded == savedFleet_) {
         return;
@@ -268,7 +292,13 @@
     if (!changed && !due) {
         return;
     }
-    CrashSuspects told = crashes_.suspects();
+    std::vector<HostId> probers;
+    for (const FleetEntry &entry : registry_.entries()) {
+        if (!entry.draining) {
+            probers.push_back(entry.host);
+        }
+    }
+    CrashSuspects told = crashes_.suspects(probers);
     pushedCrashes_ = told.version;
     nextCrashes_ = now + crashesInterval;
     told.term = control_->status().term;
--- a/persimmonlb/fleetnode/storagerole.h
+++ b/persimmonlb/fleetnode/storagerole.h
@@ -143,6 +143,9 @@
     void serverLeaves(const ServerLeaving &leaving);
     void takeLeaving(const ServerLeaving &leaving);
     void adoptFleet();
+    void adoptSuspects();
+    /// Returns the servers and blocked suspects that the log keeps; empty if there are none.
+    [[nodiscard]] FleetView savedView() const;
     void saveFleet();
     [[nodiscard]] FleetView makeView() const;
     /// The routes in force, parsed when they have changed.
@@ -171,6 +174,7 @@
     std::shared_ptr<const RouteTable> routes_;
     std::string savedFleet_; ///< Last proposed, encoded.
     std::uint64_t savedRegistry_ = 0; ///< Version of the registry that was compared last.
+    std::uint64_t savedCrashes_ = 0; ///< Version of the ledger that was saved last.
     std::uint64_t publishedRegistry_ = 0;
     std::vector<HostId> publishedVoters_;
     MonotonicTime nextPublish_;
--- a/persimmonlb/relay/internal/relaycall.cpp
+++ b/persimmonlb/relay/internal/relaycall.cpp
@@ -102,11 +102,7 @@
 void RelayService::Call::acquire()
 {
     stage_ = Stage::Waiting;
-    if (const Milliseconds blocked = blockedFor(); blocked.count() > 0) {
-        Error error
-            = makeError(ResultCode::Quarantined, "earlier runs of this request crashed servers");
-        error.retryAfter = blocked;
-        giveUp(error);
+    if (refuseIfBlocked()) {
         return;
     }
     const Milliseconds timeSpent = elapsed(startedAt_, service_.clock_.monotonic());
@@ -151,6 +147,23 @@
     send();
 }
 
+bool RelayService::Call::refuseIfBlocked()
+{
+    if (!service_.hooks_.hasSuspects()) {
+        return false;
+    }
+    const Milliseconds blocked = service_.hooks_.blockedFor(fingerprints());
+    if (blocked.count() == 0) {
+        return false;
+    }
+    Error error = makeError(
+        ResultCode::Quarantined,
+        "earlier runs of this request, or of requests with a part of its prompt, crashed servers");
+    error.retryAfter = blocked;
+    giveUp(error);
+    return true;
+}
+
 void RelayService::Call::send()
 {
     stage_ = Stage::Sent;
@@ -160,6 +173,10 @@
     responseClass_ = ResponseClass::Mismatched;
     body_.clear();
     events_.reopen();
+    responseBegan_ = false;
+    if (service_.hooks_.hasSuspects()) {
+        service_.hooks_.requestSent(fingerprints());
+    }
     const Milliseconds left = timeLeft();
     HttpRequest request = service_.hooks_.codec.encode(
         request_.request,
@@ -232,6 +249,7 @@
         forwarded += event.raw;
     }
     if (!forwarded.empty()) {
+        reportResponseBegan();
         lastProgressAt_ = service_.clock_.monotonic();
         if (!responseStarted_) {
             responseStarted_ = true;
@@ -280,53 +298,71 @@
     // tick() detects unresponsive servers.
     const bool deadlineExpired = end.code == ResultCode::DeadlineExceeded;
     if (!deadlineExpired && end.sendState == SendState::Sent) {
-        reportVerdict(true);
+        reportAbortedRun();
     }
     attemptFailed(deadlineExpired ? SlotOutcome::Abandoned : SlotOutcome::Failed,
                   makeError(end.code, end.message));
 }
 
-std::uint64_t RelayService::Call::fingerprint()
+const std::vector<std::uint64_t> &RelayService::Call::fingerprints()
 {
-    if (!fingerprint_) {
-        fingerprint_ = requestFingerprint(request_.request.target, request_.request.body);
+    if (fingerprints_.empty()) {
+        fingerprints_ = {requestFingerprint(request_.request.target, request_.request.body)};
+        fingerprints_.insert(fingerprints_.end(), request_.sharedParts.begin(),
+                             request_.sharedParts.end());
     }
-    return *fingerprint_;
+    return fingerprints_;
 }
 
-Milliseconds RelayService::Call::blockedFor()
+void RelayService::Call::reportAbortedRun()
 {
-    return service_.hooks_.hasSuspects() ? service_.hooks_.blockedFor(fingerprint())
-                                         : Milliseconds(0);
+    LogLine(LogLevel::Info, "run_aborted")
+        .add("request", request_.id)
+        .add("server", slot_.server.value)
+        .add("response_began", responseBegan_ ? "yes" : "no")
+        .add("shared_parts", formatFingerprints(request_.sharedParts))
+        .write();
+    RunVerdict verdict{.fingerprint = fingerprints().front(),
+                       .server = slot_.server,
+                       .broken = true,
+                       .bornMs = slot_.serverBornMs};
+    if (!responseBegan_) {
+        verdict.parts = request_.sharedParts;
+    }
+    service_.hooks_.runJudged(verdict);
 }
 
-void RelayService::Call::reportVerdict(bool aborted)
+void RelayService::Call::reportResponseBegan()
 {
-    if (aborted) {
-        LogLine(LogLevel::Info, "run_aborted")
-            .add("request", request_.id)
-            .add("server", slot_.server.value)
-            .add("response_began", responseStarted_ ? "yes" : "no")
-            .add("shared_parts", formatFingerprints(request_.sharedParts))
-            .write();
+    if (std::exchange(responseBegan_, true) || request_.sharedParts.empty()) {
+        return;
     }
-    if (aborted || service_.hooks_.hasSuspects()) {
-        service_.hooks_.runEnded(
-            RunVerdict{.fingerprint = fingerprint(), .server = slot_.server, .broken = aborted});
+    service_.hooks_.runJudged(RunVerdict{.fingerprint = 0,
+                                         .server = slot_.server,
+                                         .broken = false,
+                                         .bornMs = slot_.serverBornMs,
+                                         .parts = request_.sharedParts});
+}
+
+void RelayService::Call::reportAnsweredRun()
+{
+    if (service_.hooks_.hasSuspects()) {
+        service_.hooks_.runJudged(RunVerdict{.fingerprint = fingerprints().front(),
+                                             .server = slot_.server,
+                                             .broken = false,
+                                             .bornMs = slot_.serverBornMs});
     }
 }
 
 void RelayService::Call::responseEnded()
 {
-    if (responseClass_ != ResponseClass::NotRun) {
-        reportVerdict(false);
-    }
     switch (responseClass_) {
     case ResponseClass::NotRun:
         attemptFailed(SlotOutcome::Refused,
                       makeError(ResultCode::BackendRefused, "the server did not run the request"));
         return;
     case ResponseClass::Failure:
+        reportAnsweredRun();
         ++possibleRuns_;
         if (mayRetry()) {
             attemptFailed(
@@ -355,6 +391,8 @@
                                 "the stream ended before its first event or inside an event"));
         return;
     }
+    reportResponseBegan();
+    reportAnsweredRun();
     endAttempt(SlotOutcome::Completed);
     if (isStreaming()) {
         responder_->finish();
--- a/persimmonlb/relay/internal/relaycall.h
+++ b/persimmonlb/relay/internal/relaycall.h
@@ -38,13 +38,16 @@
     void exchangeEnded(const HttpExchangeEnd &end);
     /// Handles a response that arrived to its end.
     void responseEnded();
-    /// Reports how the current run ended; `aborted`: the connection failed before the response was
-    /// complete. Reports a run that was not aborted only while there are suspects.
-    void reportVerdict(bool aborted);
-    /// Returns the fingerprint of the request, see requestFingerprint().
-    std::uint64_t fingerprint();
-    /// Returns how long the request is blocked because it crashes servers; zero if it may run.
-    [[nodiscard]] Milliseconds blockedFor();
+    /// Reports that the server ended the current run before its response was complete.
+    void reportAbortedRun();
+    /// Reports that the server began its response, once for each attempt.
+    void reportResponseBegan();
+    /// Reports that the response is complete, while there are suspects.
+    void reportAnsweredRun();
+    /// Returns the fingerprint of the request, see requestFingerprint(), and those of its parts.
+    const std::vector<std::uint64_t> &fingerprints();
+    /// Refuses the request if it is blocked because it crashes servers.
+    bool refuseIfBlocked();
     void handleSuccess();
 
     /// Ends an attempt that produced no response for the caller; retries or gives up.
@@ -75,7 +78,7 @@
     RelayRequest request_;
     std::shared_ptr<HttpResponder> responder_;
     ServiceName serviceName_;
-    std::optional<std::uint64_t> fingerprint_; ///< Computed on first use.
+    std::vector<std::uint64_t> fingerprints_; ///< Computed on first use.
     MonotonicTime startedAt_;
     MonotonicTime deadline_;
 
@@ -90,6 +93,7 @@
     EventReader events_;
     std::size_t unwrittenBytes_ = 0;
 
+    bool responseBegan_ = false; ///< The server of the current attempt sent the first event.
     bool responseStarted_ = false; ///< The head was sent to the caller.
     std::uint32_t attempts_ = 0;
     std::uint32_t possibleRuns_ = 0; ///< Attempts that ran or may have run.
--- a/persimmonlb/relay/relayservice.h
+++ b/persimmonlb/relay/relayservice.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "persimmonlb/base/clock.h"
 #include "persimmonlb/base/metrics.h"
@@ -67,11 +68,15 @@
     /// Returns true while any request is suspected of crashing servers. While it returns false, no
     /// request is blocked.
     std::function<bool()> hasSuspects;
-    /// Returns how long the request is blocked because it crashes servers; zero if it may run.
-    std::function<Milliseconds(std::uint64_t fingerprint)> blockedFor;
+    /// Returns how long a request with these fingerprints, of itself and of the parts of its
+    /// prompt, is blocked because it crashes servers; zero if it may run.
+    std::function<Milliseconds(const std::vector<std::uint64_t> &fingerprints)> blockedFor;
+    /// Called when a request is sent to a server while hasSuspects() returns true.
+    std::function<void(const std::vector<std::uint64_t> &fingerprints)> requestSent;
     /// Called when the connection to a server fails after the request was sent and before the
-    /// response is complete. While hasSuspects() returns true, also called when a server responds.
-    std::function<void(const RunVerdict &verdict)> runEnded;
+    /// response is complete, when a server begins its response to a prompt of several parts, and,
+    /// while hasSuspects() returns true, when a response is complete.
+    std::function<void(const RunVerdict &verdict)> runJudged;
 };
 
 /// Forwards requests to servers and their responses to the callers.
--- a/persimmonlb/relay/relayservice_test.cpp
+++ b/persimmonlb/relay/relayservice_test.cpp
@@ -89,14 +89,20 @@
         result.services = {{serviceName, 1}};
         return result;
     }
-    void relay(RouteKind kind, bool resumable = false)
+    /// Leaves what the request waits for, such as its slot, to later.run().
+    void relayWithoutRunning(RouteKind kind, bool resumable = false)
     {
         RelayRequest request;
         request.id = "q";
+        request.sharedParts = sharedParts;
         request.route = route(kind, resumable);
         request.callerTimeout = Milliseconds(5000);
         request.request.method = "POST";
         relayService.relay(request, caller);
+    }
+    void relay(RouteKind kind, bool resumable = false)
+    {
+        relayWithoutRunning(kind, resumable);
         later.run();
     }
     void advance(int ms)
@@ -150,6 +156,8 @@
     std::vector<std::shared_ptr<FakeSending>> sendings;
     std::vector<std::optional<std::uint64_t>> lastEventIds;
     Milliseconds blockedFor{0};
+    std::vector<std::uint64_t> sharedParts;
+    std::vector<std::uint64_t> checkedFingerprints;
     std::vector<RunVerdict> verdicts;
     Metrics metrics;
     Clock clock{.monotonic = [this] { return now; },
@@ -204,8 +212,13 @@
             .send = recordInto(sendings),
             .isEngine = [](const ServiceName &) { return true; },
             .hasSuspects = [] { return true; },
-            .blockedFor = [this](std::uint64_t) { return blockedFor; },
-            .runEnded =
+            .blockedFor =
+                [this](const std::vector<std::uint64_t> &fingerprints) {
+                    checkedFingerprints = fingerprints;
+                    return blockedFor;
+                },
+            .requestSent = [](const std::vector<std::uint64_t> &) {},
+            .runJudged =
                 [this](const RunVerdict &verdict) {
                     verdicts.push_back(verdict);
                 }}};
@@ -529,6 +542,44 @@
     BOOST_TEST((fixture.verdicts[1].server != fixture.verdicts[0].server));
 }
 
+/// Guards against a part of prompts that crashes servers: requests share nothing else.
+BOOST_AUTO_TEST_CASE(reportsPromptPartsOfRunAbortedBeforeItsResponseBegan)
+{
+    Fixture fixture;
+    fixture.sharedParts = {11, 12};
+    fixture.relay(RouteKind::Streaming, true);
+    fixture.head(200);
+    fixture.end(ResultCode::StreamBroken);
+    BOOST_REQUIRE_EQUAL(fixture.verdicts.size(), 1U);
+    BOOST_TEST(fixture.verdicts[0].broken);
+    BOOST_TEST((fixture.verdicts[0].parts == fixture.sharedParts));
+    BOOST_TEST(fixture.verdicts[0].bornMs == 1U);
+    // The second server begins its response: whatever aborts it now, the parts are sound.
+    fixture.head(200);
+    fixture.chunk(eventText(0));
+    BOOST_REQUIRE_EQUAL(fixture.verdicts.size(), 2U);
+    BOOST_TEST(!fixture.verdicts[1].broken);
+    BOOST_TEST(fixture.verdicts[1].fingerprint == 0U);
+    BOOST_TEST((fixture.verdicts[1].parts == fixture.sharedParts));
+    fixture.chunk(eventText(1));
+    fixture.end(ResultCode::StreamBroken);
+    BOOST_REQUIRE_EQUAL(fixture.verdicts.size(), 3U);
+    BOOST_TEST(fixture.verdicts[2].broken);
+    BOOST_TEST(fixture.verdicts[2].parts.empty());
+}
+
+BOOST_AUTO_TEST_CASE(checksPromptPartsBeforeARequestIsSent)
+{
+    Fixture fixture;
+    fixture.sharedParts = {11, 12};
+    fixture.blockedFor = Milliseconds(60000);
+    fixture.relay(RouteKind::Streaming, true);
+    BOOST_TEST(fixture.sendings.empty());
+    BOOST_TEST(fixture.caller->status == 503);
+    BOOST_REQUIRE_EQUAL(fixture.checkedFingerprints.size(), 3U);
+    BOOST_TEST(fixture.checkedFingerprints[2] == 12U);
+}
+
 BOOST_AUTO_TEST_CASE(reportsNoVerdictWhenRequestDidNotRunOrDeadlineExpired)
 {
     Fixture refused;
--- a/persimmonlb/slots/slotclient.cpp
+++ b/persimmonlb/slots/slotclient.cpp
@@ -162,7 +162,7 @@
         return;
     }
     const SlotRequest &request = pending->second.request;
-    finish(grant.ticket, {grant.server, grant.address, Milliseconds(0)},
+    finish(grant.ticket, {grant.server, grant.address, Milliseconds(0), grant.bornMs},
            Granted{.server = grant.server,
                    .startedAtMs = grant.bornMs,
                    .tokens = request.tokens,
@@ -173,8 +173,8 @@
 
 void SlotClient::acceptRefusal(const SlotRefusal &refusal)
 {
-    finish(refusal.ticket, {{}, {}, Milliseconds(static_cast<std::int64_t>(refusal.retryAfterMs))},
-           Granted{});
+    finish(refusal.ticket,
+           {{}, {}, Milliseconds(static_cast<std::int64_t>(refusal.retryAfterMs)), 0}, Granted{});
 }
 
 void SlotClient::finish(std::uint64_t ticket, SlotAnswer answer, const Granted &granted)
--- a/persimmonlb/slots/slotclient.h
+++ b/persimmonlb/slots/slotclient.h
@@ -43,6 +43,7 @@
     ServerId server; ///< Empty: refused.
     std::string address;
     Milliseconds retryAfter{0};
+    std::uint64_t serverBornMs = 0; ///< Which start of the server.
 
     bool operator==(const SlotAnswer &) const = default;
 };
--- a/persimmonlb/wire/internal/messagefields.h
+++ b/persimmonlb/wire/internal/messagefields.h
@@ -264,6 +264,27 @@
     archive.field("v", message.votes);
 }
 
+template <typename Archive>
+void describeFields(Archive &archive, Fields<Archive, ServerProcess> &message)
+{
+    archive.field("s", message.server);
+    archive.field("n", message.bornMs);
+}
+
+/// "s" was a list of server ids in earlier releases.
+template <typename Archive>
+void describeFields(Archive &archive, Fields<Archive, CrashSuspect> &message)
+{
+    archive.field("f", message.fingerprint);
+    archive.list("p", message.processes);
+    archive.field("b", message.blocks);
+    archive.field("u", message.blockedForMs);
+    archive.field("k", message.isPart);
+    archive.list("r", message.requests);
+    archive.list("a", message.abortAgesMs);
+    archive.field("h", message.prober);
+}
+
 template <typename Archive>
 void describeFields(Archive &archive, Fields<Archive, FleetView> &message)
 {
@@ -274,6 +295,7 @@
     archive.list("s", message.servers);
     archive.list("e", message.entries);
     archive.list("st", message.stores);
+    archive.list("k", message.blockedSuspects);
 }
 
 template <typename Archive>
@@ -430,15 +452,9 @@
     archive.field("f", message.fingerprint);
     archive.field("s", message.server);
     archive.field("b", message.broken);
-}
-
-template <typename Archive>
-void describeFields(Archive &archive, Fields<Archive, CrashSuspect> &message)
-{
-    archive.field("f", message.fingerprint);
-    archive.list("s", message.servers);
-    archive.field("b", message.blocks);
-    archive.field("u", message.blockedForMs);
+    archive.field("n", message.bornMs);
+    archive.list("p", message.parts);
+    archive.field("a", message.ageMs);
 }
 
 template <typename Archive>
