Relay: a request that is blocked while it waits for a slot is refused

Callers' requests with a blocked fingerprint reached servers after the block: only those that came after it were refused, not those that waited for a slot. The test refusesRequestThatIsBlockedWhileItWaits failed before (the request was sent). The check is made again when the slot is granted, and the slot goes back unused.

--- a/persimmonlb/relay/internal/relaycall.cpp
+++ b/persimmonlb/relay/internal/relaycall.cpp
@@ -143,6 +143,11 @@
         giveUp(error);
         return;
     }
+    // The request may have been blocked while it waited for the slot.
+    if (refuseIfBlocked()) {
+        service_.slots_.end(ticket_, SlotOutcome::Abandoned);
+        return;
+    }
     slot_ = answer;
     send();
 }
--- a/persimmonlb/relay/relayservice_test.cpp
+++ b/persimmonlb/relay/relayservice_test.cpp
@@ -580,6 +580,23 @@
     BOOST_TEST(fixture.checkedFingerprints[2] == 12U);
 }
 
+/// Guards against requests that are blocked while they wait for a slot and then reach a server.
+BOOST_AUTO_TEST_CASE(refusesRequestThatIsBlockedWhileItWaits)
+{
+    Fixture fixture;
+    fixture.relayWithoutRunning(RouteKind::Safe);
+    fixture.blockedFor = Milliseconds(60000);
+    fixture.later.run();
+    BOOST_TEST(fixture.sendings.empty());
+    BOOST_TEST(fixture.caller->status == 503);
+    // Its slot is free again.
+    fixture.blockedFor = Milliseconds(0);
+    for (int request = 0; request < 12; ++request) {
+        fixture.relay(RouteKind::Safe);
+    }
+    BOOST_TEST(fixture.sendings.size() == 12U);
+}
+
 BOOST_AUTO_TEST_CASE(reportsNoVerdictWhenRequestDidNotRunOrDeadlineExpired)
 {
     Fixture refused;
