Relay: a stream that ends before or inside an event counts as an aborted run

A server that crashes may end a stream without length just as a whole one ends. The relay retried such a run, but told the leader that the server had answered, which cleared the request of suspicion, so that its callers could crash further servers. The test reportsStreamThatEndsBeforeOrInsideAnEventAsAborted failed before (no verdict of an aborted run).

--- a/persimmonlb/relay/internal/relaycall.cpp
+++ b/persimmonlb/relay/internal/relaycall.cpp
@@ -390,6 +390,7 @@
 void RelayService::Call::handleSuccess()
 {
     if (isStreaming() && (events_.isInsideEvent() || !responseStarted_)) {
+        reportAbortedRun();
         ++possibleRuns_;
         attemptFailed(SlotOutcome::Failed,
                       makeError(ResultCode::StreamBroken,
--- a/persimmonlb/relay/relayservice_test.cpp
+++ b/persimmonlb/relay/relayservice_test.cpp
@@ -597,6 +597,20 @@
     BOOST_TEST(fixture.sendings.size() == 12U);
 }
 
+/// Guards against crashes that look like the end of a stream without length.
+BOOST_AUTO_TEST_CASE(reportsStreamThatEndsBeforeOrInsideAnEventAsAborted)
+{
+    for (const char *bytes : {"", "id: 0\nda"}) {
+        Fixture fixture;
+        fixture.relay(RouteKind::Streaming, false);
+        fixture.head(200);
+        fixture.chunk(bytes);
+        fixture.end(ResultCode::Ok);
+        BOOST_REQUIRE_EQUAL(fixture.verdicts.size(), 1U);
+        BOOST_TEST(fixture.verdicts[0].broken);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(reportsNoVerdictWhenRequestDidNotRunOrDeadlineExpired)
 {
     Fixture refused;
