Slots: the limit of requests that a server names is kept by the whole fleet

Hosts report a limit that the leader's view does not have, in each response, until the view has it; it belongs to one start of a server and goes with the view to all hosts and to the next leader. The broker keeps it by a token bucket for each server, for online requests and bulk runs together; waits are estimated from the rates, and no bulk run ends for a request that its server may not get anyway. Services with a limited server go through the broker even if their hosts choose for themselves otherwise. Without the leader, each host keeps three quarters of its equal share, less what the broker had granted to it.

--- a/persimmonlb/bulk/bulkmaintenance.cpp
+++ b/persimmonlb/bulk/bulkmaintenance.cpp
@@ -31,7 +31,7 @@
         const bool willBeLate = slack.count() < 0;
         const bool endsSoon = remaining < options_.minRemainingToYield && !isOverlong(events);
         const bool keep = endsSoon || (!willBeLate && slack < options_.minSlackToYield);
-        if (keep) {
+        if (keep || !broker_.allowsRequest(run.slot.server)) {
             continue;
         }
         const Milliseconds yieldPriority = willBeLate ? Milliseconds::max() : slack;
--- a/persimmonlb/bulk/bulkrunner.cpp
+++ b/persimmonlb/bulk/bulkrunner.cpp
@@ -275,6 +275,12 @@
         }
         run->status = head.status;
         run->responseClass = hooks_.codec.classify(item->id, head);
+        const auto limit = hooks_.codec.requestLimitPerKs(head);
+        if (limit && run->responseClass != ResponseClass::Mismatched) {
+            hooks_.reportServerLimit({.server = run->slot.server,
+                                      .bornMs = run->serverStartedAtMs,
+                                      .requestsPerKs = *limit});
+        }
     };
     hooks.chunk = [this, alive, key, runNumber](const std::string &chunk) {
         if (!alive.expired()) {
--- a/persimmonlb/bulk/bulkrunner.h
+++ b/persimmonlb/bulk/bulkrunner.h
@@ -87,6 +87,11 @@
     /// Called when a server announces in a response that it is leaving. The response is still being
     /// read, so the hook must not end the server's runs within the call.
     std::function<void(const ServerLeaving &leaving)> reportServerLeaving;
+    /// Called with the limit that each response names, or with its absence. As above, within the
+    /// call the hook must not end runs.
+    std::function<void(const ServerLimit &limit)> reportServerLimit
+        = [](const ServerLimit & /*limit*/) {
+          };
 };
 
 /// Runs the items of bulk jobs on slots that online requests leave free.
@@ -112,7 +117,8 @@
     /// Starts items on free slots of the service, at most `maxStartsPerCall` of them.
     void startItems(const ServiceName &service);
     /// Ends the service's run with the most slack and returns its slot, or nothing if no run may be
-    /// ended. Runs that will be late in any case are ended first.
+    /// ended. Runs that will be late in any case are ended first; runs on a server that may get no
+    /// other request now, by the limit that it named, are kept.
     std::optional<BatchRunSlot> yield(const ServiceName &service);
     /// Ends the runs on all servers outside `usable`, such as draining or lost ones. Their items
     /// resume on other servers.
--- a/persimmonlb/bulk/bulkrunner_test.cpp
+++ b/persimmonlb/bulk/bulkrunner_test.cpp
@@ -37,6 +37,11 @@
 /// A runner with one backend server of two slots. Commands are applied at once.
 struct Fixture {
     Fixture()
+    {
+        broker.setServers({server()}, [](const ServiceName &) { return SlotCapacity{2, 0}; });
+    }
+
+    static FleetServer server()
     {
         FleetServer server;
         server.id = ServerId{"s1"};
@@ -44,7 +49,7 @@
         server.service = engine;
         server.address = "s1:80";
         server.slots = 2;
-        broker.setServers({server}, [](const ServiceName &) { return SlotCapacity{2, 0}; });
+        return server;
     }
 
     void accept(const std::string &id, int items, int dueAfterMs = 18000)
@@ -221,6 +226,25 @@
     BOOST_TEST(fixture.results("a").at(0).output == "d1\nd2\nd3");
 }
 
+/// Guards against runs that end for online requests which their server may not get anyway.
+BOOST_AUTO_TEST_CASE(keepsRunOnServerWhoseLimitIsReached)
+{
+    Fixture fixture;
+    fixture.accept("a", 1);
+    fixture.advance(20);
+    BOOST_REQUIRE_EQUAL(fixture.sentRequests.size(), 1U);
+    FleetServer server = fixture.server();
+    server.requestsPerKs = 1;
+    fixture.broker.setServers({server}, [](const ServiceName &) { return SlotCapacity{}; });
+    fixture.broker.countRequest(server.id);
+    BOOST_TEST(!fixture.runner.yield(engine).has_value());
+    BOOST_TEST(!fixture.sentRequest(0).closed);
+    server.requestsPerKs = 0;
+    fixture.broker.setServers({server}, [](const ServiceName &) { return SlotCapacity{}; });
+    fixture.advance(20);
+    BOOST_TEST(fixture.runner.yield(engine).has_value());
+}
+
 BOOST_AUTO_TEST_CASE(yieldsSlotOfRunWithMostSlack)
 {
     Fixture fixture;
--- a/persimmonlb/fleet/fleetregistry.cpp
+++ b/persimmonlb/fleet/fleetregistry.cpp
@@ -51,6 +51,23 @@
     return true;
 }
 
+bool FleetRegistry::setLimit(const ServerLimit &limit)
+{
+    const auto known = servers_.find(limit.server);
+    if (known == servers_.end() || known->second.info.bornMs != limit.bornMs
+        || known->second.info.requestsPerKs == limit.requestsPerKs) {
+        return false;
+    }
+    known->second.info.requestsPerKs = limit.requestsPerKs;
+    ++version_;
+    LogLine(LogLevel::Info, "server_limit_changed")
+        .add("server", limit.server.value)
+        .add("born", static_cast<std::int64_t>(limit.bornMs))
+        .add("requests_per_ks", static_cast<std::int64_t>(limit.requestsPerKs))
+        .write();
+    return true;
+}
+
 bool FleetRegistry::announce(const FleetServer &announced)
 {
     FleetServer server = announced;
@@ -69,6 +86,8 @@
         if (!takeAddress(server)) {
             return false;
         }
+        // A server names its limit in responses only.
+        server.requestsPerKs = server.bornMs == info.bornMs ? info.requestsPerKs : 0;
         known->second.heardAt = clock_.monotonic();
         if (!sameForOthers(info, server)) {
             ++version_;
@@ -202,6 +221,8 @@
             || std::pair(known->second.info.bornMs, known->second.info.sequence)
                 < std::pair(server.bornMs, server.sequence)) {
             servers_[server.id] = Server{server, now};
+        } else if (known->second.info.bornMs == server.bornMs) {
+            known->second.info.requestsPerKs = server.requestsPerKs;
         }
     }
     std::set<ServerId> named;
--- a/persimmonlb/fleet/fleetregistry.h
+++ b/persimmonlb/fleet/fleetregistry.h
@@ -56,6 +56,8 @@
     /// A server said in an answer that it leaves: for this start it drains, whatever it announces.
     /// True when that is new.
     bool serverLeaves(const ServerLeaving &leaving);
+    /// A server named another limit of requests. True when the server is known and that is new.
+    bool setLimit(const ServerLimit &limit);
     /// Takes the report of a storage host.
     void report(const HostId &from, const HostReport &report);
     /// Takes which entry hosts report to a storage host.
--- a/persimmonlb/fleet/fleetregistry_test.cpp
+++ b/persimmonlb/fleet/fleetregistry_test.cpp
@@ -55,6 +55,29 @@
     BOOST_TEST(bench.registry.servers().at(0).bornMs == 200U);
 }
 
+/// Guards against a limit that is forgotten when its server announces itself or another host leads.
+BOOST_AUTO_TEST_CASE(LimitHoldsForOneLifeThroughAnnouncementsAndLeaders)
+{
+    Bench bench;
+    bench.registry.announce(makeServer("s", 100, 5));
+    const std::uint64_t version = bench.registry.version();
+    BOOST_TEST(bench.registry.setLimit({ServerId{"s"}, 100, 2400}));
+    BOOST_TEST(!bench.registry.setLimit({ServerId{"s"}, 100, 2400}));
+    BOOST_TEST(!bench.registry.setLimit({ServerId{"s"}, 99, 1}));
+    BOOST_TEST(!bench.registry.setLimit({ServerId{"other"}, 1, 1}));
+    BOOST_TEST(bench.registry.version() > version);
+    bench.registry.announce(makeServer("s", 100, 6));
+    BOOST_TEST(bench.registry.servers().at(0).requestsPerKs == 2400U);
+    Bench next;
+    next.registry.announce(makeServer("s", 100, 7));
+    FleetView view;
+    view.servers = bench.registry.servers();
+    next.registry.adopt(view);
+    BOOST_TEST(next.registry.servers().at(0).requestsPerKs == 2400U);
+    next.registry.announce(makeServer("s", 200, 1));
+    BOOST_TEST(next.registry.servers().at(0).requestsPerKs == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(EndedLifeIsNotRevived)
 {
     Bench bench;
--- a/persimmonlb/fleet/fleetview.h
+++ b/persimmonlb/fleet/fleetview.h
@@ -20,6 +20,8 @@
     AvailabilityZone availabilityZone = {};
     std::uint32_t slots = 0; ///< Requests it runs at once.
     bool draining = false; ///< Takes no new requests.
+    /// Requests that it takes from all hosts together, in 1,000 s, as its responses say; 0: any.
+    std::uint64_t requestsPerKs = 0;
 
     bool operator==(const FleetServer &) const = default;
 };
@@ -178,6 +180,16 @@
     bool operator==(const ServerLeaving &) const = default;
 };
 
+/// The limit that a server named in a response, if the leader's view has another one. Told to the
+/// leader by the host that got the response.
+struct ServerLimit {
+    ServerId server;
+    std::uint64_t bornMs = 0; ///< Which start of the server.
+    std::uint64_t requestsPerKs = 0; ///< Requests in 1,000 s; 0: it names no limit any more.
+
+    bool operator==(const ServerLimit &) const = default;
+};
+
 /// Tells a storage host that the group goes on without it: its store is of no more use.
 struct MemberRemoved {
     HostId member;
--- a/persimmonlb/fleetnode/gatewayrole.cpp
+++ b/persimmonlb/fleetnode/gatewayrole.cpp
@@ -69,6 +69,9 @@
     hooks.reportServerLeaving = [this](const HostId &to, const ServerLeaving &leaving) {
         return deps_.send(to, leaving);
     };
+    hooks.reportServerLimit = [this](const HostId &to, const ServerLimit &limit) {
+        return deps_.send(to, limit);
+    };
     hooks.capacityOf = [this](const ServiceName &service) {
         return slotCapacity(routes_.get(), service);
     };
--- a/persimmonlb/fleetnode/storageleading.cpp
+++ b/persimmonlb/fleetnode/storageleading.cpp
@@ -137,6 +137,8 @@
         crashes_.recordVerdict(*verdict);
     } else if (const auto *leaving = std::get_if<ServerLeaving>(&body)) {
         takeLeaving(*leaving);
+    } else if (const auto *limit = std::get_if<ServerLimit>(&body)) {
+        registry_.setLimit(*limit);
     }
 }
 
@@ -209,6 +211,7 @@
     view.servers = registry_.servers();
     for (FleetServer &server : view.servers) {
         server.sequence = 0;
+        server.requestsPerKs = 0;
     }
     view.blockedSuspects = crashes_.blockedSuspects();
     for (CrashSuspect &suspect : view.blockedSuspects) {
--- a/persimmonlb/fleetnode/storagerole.cpp
+++ b/persimmonlb/fleetnode/storagerole.cpp
@@ -20,7 +20,7 @@
 {
     return std::holds_alternative<SlotRequest>(body) || std::holds_alternative<SlotEnd>(body)
         || std::holds_alternative<SlotsHeld>(body) || std::holds_alternative<RunVerdict>(body)
-        || std::holds_alternative<ServerLeaving>(body);
+        || std::holds_alternative<ServerLeaving>(body) || std::holds_alternative<ServerLimit>(body);
 }
 
 } // namespace
@@ -81,9 +81,12 @@
         .itemRequest = deps_.face.itemRequest,
         .codec = deps_.face.codec,
         .send = sendThrough(deps_.client),
-        .reportServerLeaving =
-            [this](const ServerLeaving &leaving) {
-                serverLeaves(leaving);
+        .reportServerLeaving = [this](const ServerLeaving &leaving) { serverLeaves(leaving); },
+        .reportServerLimit =
+            [this](const ServerLimit &limit) {
+                if (leads_) {
+                    registry_.setLimit(limit);
+                }
             }};
 }
 
--- a/persimmonlb/relay/internal/relaycall.cpp
+++ b/persimmonlb/relay/internal/relaycall.cpp
@@ -218,6 +218,11 @@
         service_.slots_.markServerLeaving(ticket_);
     }
     responseClass_ = service_.hooks_.codec.classify(request_.id, head);
+    if (responseClass_ != ResponseClass::Mismatched) {
+        if (const auto limit = service_.hooks_.codec.requestLimitPerKs(head)) {
+            service_.slots_.noteServerLimit(ticket_, *limit);
+        }
+    }
     if (!responseStarted_ || responseClass_ != ResponseClass::Success) {
         head_ = std::move(head);
     }
--- a/persimmonlb/relay/relayrequest.h
+++ b/persimmonlb/relay/relayrequest.h
@@ -61,6 +61,12 @@
         = [](const HttpResponseHead & /*head*/) {
               return false;
           };
+    /// Returns the requests that the server takes from all hosts together in 1,000 s, 0 if it names
+    /// no limit, or nothing if what it names is unreadable.
+    std::function<std::optional<std::uint64_t>(const HttpResponseHead &head)> requestLimitPerKs
+        = [](const HttpResponseHead & /*head*/) {
+              return std::optional<std::uint64_t>(0);
+          };
     /// Returns the response for a request that the relay refused or that failed in the relay.
     std::function<HttpResponse(const std::string &requestId, const Error &error)> encodeError;
 };
--- a/persimmonlb/relay/relayservice_test.cpp
+++ b/persimmonlb/relay/relayservice_test.cpp
@@ -156,6 +156,7 @@
     std::vector<std::shared_ptr<FakeSending>> sendings;
     std::vector<std::optional<std::uint64_t>> lastEventIds;
     Milliseconds blockedFor{0};
+    std::optional<std::uint64_t> limitPerKs = 0;
     std::vector<std::uint64_t> sharedParts;
     std::vector<std::uint64_t> checkedFingerprints;
     std::vector<RunVerdict> verdicts;
@@ -204,6 +205,7 @@
                    },
                .reportsLeaving
                = [](const HttpResponseHead &head) { return head.headers.contains("Leaving"); },
+               .requestLimitPerKs = [this](const HttpResponseHead &) { return limitPerKs; },
                .encodeError =
                    [](const std::string &, const Error &error) {
                        const bool notRun = error.runState() == RunState::NotRun;
@@ -628,6 +630,26 @@
     BOOST_TEST(unreachable.verdicts.empty());
 }
 
+/// Guards against requests beyond the limit that a server names, in whatever response.
+BOOST_AUTO_TEST_CASE(keepsTheLimitThatAServerNamesInAnyResponse)
+{
+    for (const std::uint16_t status : {200, 421, 500}) {
+        Fixture fixture;
+        fixture.limitPerKs = 1;
+        fixture.relay(RouteKind::Streaming, true);
+        const std::string limited = fixture.lastSending().address;
+        fixture.head(status);
+        fixture.limitPerKs = std::nullopt;
+        // The first request is allowed after a random part of the interval between two.
+        int sent = 0;
+        for (int request = 0; request < 8; ++request) {
+            fixture.relay(RouteKind::Safe);
+            sent += fixture.lastSending().address == limited ? 1 : 0;
+        }
+        BOOST_TEST(sent == 0, "status " << status);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(avoidsLeavingServerForEveryResponseClass)
 {
     for (const std::uint16_t status : {200, 421, 500, 299}) {
--- a/persimmonlb/slots/slotbatch.cpp
+++ b/persimmonlb/slots/slotbatch.cpp
@@ -17,11 +17,12 @@
     request.service = service;
     request.availabilityZone = options_.availabilityZone;
     request.tokens = tokens;
-    Server *server = bestServerFor(request);
+    Server *server = bestServerFor(request, options_.requestBurst);
     if (server == nullptr) {
         return std::nullopt;
     }
     ++server->batch;
+    server->limiter.take(clock_.monotonic());
     updatePeak(*server);
     server->tokens += tokens;
     return server->info.id;
--- a/persimmonlb/slots/slotbroker.cpp
+++ b/persimmonlb/slots/slotbroker.cpp
@@ -36,6 +36,7 @@
         Server server = sameProcess ? std::move(known->second) : Server();
         server.info = info;
         server.capacity = capacityOf(info.service);
+        updateLimit(server);
         next.emplace(info.id, std::move(server));
         services_.try_emplace(info.service);
     }
@@ -57,6 +58,35 @@
     }
 }
 
+void SlotBroker::updateLimit(Server &server)
+{
+    constexpr double secondsPerKs = 1000;
+    constexpr double maxBurstSeconds = 0.5;
+    const double rate = static_cast<double>(server.info.requestsPerKs) / secondsPerKs;
+    if (rate == server.limiter.rate()) {
+        return;
+    }
+    constexpr double steps = 1000;
+    const double first
+        = options_.staggersFirstRequest ? static_cast<double>(random_() % 1000) / steps : 1;
+    server.limiter.setRate(rate, std::max(options_.requestBurst, rate * maxBurstSeconds), first,
+                           clock_.monotonic());
+}
+
+bool SlotBroker::allowsRequest(const ServerId &server) const
+{
+    const auto found = servers_.find(server);
+    return found != servers_.end() && found->second.limiter.allows(1, clock_.monotonic());
+}
+
+void SlotBroker::countRequest(const ServerId &server)
+{
+    const auto found = servers_.find(server);
+    if (found != servers_.end()) {
+        found->second.limiter.take(clock_.monotonic());
+    }
+}
+
 void SlotBroker::reset()
 {
     for (auto &[id, server] : servers_) {
@@ -155,6 +185,7 @@
     server.tokens += request.tokens;
     recordPromptParts(server, request);
     const MonotonicTime now = clock_.monotonic();
+    server.limiter.take(now);
     grantedSlots_[Ticket{host, request.ticket}] = GrantedSlot{server.info.id, request.tokens, now};
     recordGrantTime(server, now);
     hooks_.grant(host,
--- a/persimmonlb/slots/slotbroker.h
+++ b/persimmonlb/slots/slotbroker.h
@@ -12,6 +12,7 @@
 #include "persimmonlb/base/clock.h"
 #include "persimmonlb/base/ids.h"
 #include "persimmonlb/fleet/fleetview.h"
+#include "persimmonlb/slots/requestlimiter.h"
 
 namespace persimmonlb
 {
@@ -40,6 +41,13 @@
     /// request.
     std::uint32_t failuresUntilBackoff = 2;
     std::size_t maxQueued = 4096; ///< Queued requests of all services together.
+    /// Requests that a server with a limit may get at once after a pause. A batch run is started
+    /// only if that many are allowed, so that online requests find the server ready.
+    double requestBurst = 2;
+    /// A limit becomes known to several hosts at once; those that choose locally must not all send
+    /// a request then. If true, a server allows the first request after a random part of the
+    /// interval between two.
+    bool staggersFirstRequest = false;
 };
 
 /// The server and the cache tokens that a batch run occupies.
@@ -108,6 +116,10 @@
 
     /// Grants a slot, queues the request or refuses it; calls the hooks accordingly.
     void request(const HostId &from, const SlotRequest &request);
+    /// True if the limit that the server named allows another request now.
+    [[nodiscard]] bool allowsRequest(const ServerId &server) const;
+    /// Counts a request that another broker granted against the limit of its server.
+    void countRequest(const ServerId &server);
     /// Releases a slot, or removes a queued request.
     void end(const HostId &from, const SlotEnd &end);
     /// Replaces the slots and drops the queued requests of an entry host.
@@ -160,6 +172,7 @@
         MonotonicTime orphanedUntil;
         std::uint64_t tokens = 0;
         std::uint32_t consecutiveFailures = 0;
+        RequestLimiter limiter; ///< By the limit that the server named.
         bool halfOpen = false; ///< After a backoff: one request at a time until one succeeds.
         MonotonicTime backoffUntil;
         double averageHoldMs = 0; ///< Exponentially smoothed; 0: no observation.
@@ -202,7 +215,7 @@
     /// True if the server is neither draining nor in backoff.
     [[nodiscard]] static bool isUsable(const Server &server, MonotonicTime now);
     [[nodiscard]] static bool canAccept(const Server &server, std::uint64_t tokens,
-                                        MonotonicTime now);
+                                        MonotonicTime now, double requests = 1);
     /// Returns the lower of the announced and the configured slots, or 1 if the server is
     /// half-open.
     [[nodiscard]] static std::uint32_t slotLimit(const Server &server);
@@ -214,7 +227,12 @@
                                              double serviceAverageHoldMs, MonotonicTime now);
     /// Returns an empty list for an unknown service.
     [[nodiscard]] const std::vector<Server *> &serversOf(const ServiceName &service) const;
-    [[nodiscard]] Server *bestServerFor(const SlotRequest &request);
+    /// `requests`: how many requests the limit of the server must allow.
+    [[nodiscard]] Server *bestServerFor(const SlotRequest &request, double requests = 1);
+    void updateLimit(Server &server);
+    /// Returns the requests per second that the service's usable servers can begin, or 0 if none of
+    /// them has a limit.
+    [[nodiscard]] double limitedRequestRate(const ServiceName &service) const;
     /// Returns the occupied and free slots of servers that are neither draining nor in backoff.
     [[nodiscard]] std::uint32_t usableSlots(const ServiceName &service) const;
     [[nodiscard]] Milliseconds typicalHoldTime(const ServiceName &service) const;
--- a/persimmonlb/slots/slotchoice.cpp
+++ b/persimmonlb/slots/slotchoice.cpp
@@ -51,9 +51,11 @@
     return !server.info.draining && now >= server.backoffUntil;
 }
 
-bool SlotBroker::canAccept(const Server &server, std::uint64_t tokens, MonotonicTime now)
+bool SlotBroker::canAccept(const Server &server, std::uint64_t tokens, MonotonicTime now,
+                           double requests)
 {
-    if (!isUsable(server, now) || occupiedSlots(server, now) >= slotLimit(server)) {
+    if (!isUsable(server, now) || occupiedSlots(server, now) >= slotLimit(server)
+        || !server.limiter.allows(requests, now)) {
         return false;
     }
     const std::uint64_t maxTokens = server.capacity.cacheTokens;
@@ -91,7 +93,7 @@
     return known == services_.end() ? noServers : known->second.servers;
 }
 
-SlotBroker::Server *SlotBroker::bestServerFor(const SlotRequest &request)
+SlotBroker::Server *SlotBroker::bestServerFor(const SlotRequest &request, double requests)
 {
     Server *best = nullptr;
     double lowest = 0;
@@ -102,7 +104,7 @@
     const MonotonicTime now = clock_.monotonic();
     for (Server *candidate : serversOf(request.service)) {
         Server &server = *candidate;
-        if (!canAccept(server, request.tokens, now)
+        if (!canAccept(server, request.tokens, now, requests)
             || std::ranges::find(request.excluded, server.info.id) != request.excluded.end()) {
             continue;
         }
@@ -132,6 +134,24 @@
     }
 }
 
+double SlotBroker::limitedRequestRate(const ServiceName &service) const
+{
+    const MonotonicTime now = clock_.monotonic();
+    const double holdSeconds = std::chrono::duration<double>(typicalHoldTime(service)).count();
+    double total = 0;
+    bool isLimited = false;
+    for (const Server *server : serversOf(service)) {
+        if (!isUsable(*server, now)) {
+            continue;
+        }
+        const double limit = server->limiter.rate();
+        const double bySlots = slotLimit(*server) / std::max(holdSeconds, 0.001);
+        total += limit > 0 ? std::min(limit, bySlots) : bySlots;
+        isLimited = isLimited || limit > 0;
+    }
+    return isLimited ? total : 0;
+}
+
 std::uint32_t SlotBroker::usableSlots(const ServiceName &service) const
 {
     const MonotonicTime now = clock_.monotonic();
--- a/persimmonlb/slots/slotclient.cpp
+++ b/persimmonlb/slots/slotclient.cpp
@@ -14,7 +14,9 @@
     , clock_(clock)
     , hooks_(std::move(hooks))
     , localBroker_(
-          SlotBrokerOptions{}, std::move(clock), std::move(random),
+          SlotBrokerOptions{
+              .availabilityZone = {}, .requestBurst = 1, .staggersFirstRequest = true},
+          std::move(clock), std::move(random),
           SlotBrokerHooks{.grant =
                               [this](const HostId &, const SlotGrant &grant) {
                                   if (!grant.server.empty()) {
@@ -32,6 +34,7 @@
 {
     entryHostCount_ = std::max<std::size_t>(1, view.entries.size());
     servers_ = view.servers;
+    limits_.setView(servers_);
     updateLocalServers();
     if (broker_ == view.leader && brokerTerm_ == view.term) {
         return;
@@ -41,6 +44,8 @@
     brokerUnresponsive_ = broker_.empty();
     reportHeldSlots();
     reportLeavingServers();
+    limits_.leaderChanged();
+    reportLimits();
     for (auto &[ticket, pending] : pending_) {
         if (!pending.local) {
             pending.queued = false;
@@ -54,6 +59,8 @@
     std::vector<FleetServer> servers = servers_;
     unreportedLeaving_.clear();
     for (FleetServer &server : servers) {
+        const std::uint64_t limit = limits_.limitOf({server.id, server.bornMs});
+        server.requestsPerKs = limit == 0 ? 0 : shareOfLimit(limit);
         if (server.draining || !leaving_.contains(server.id, server.bornMs)) {
             continue;
         }
@@ -63,7 +70,6 @@
     localBroker_.setServers(servers, [this](const ServiceName &service) {
         SlotCapacity capacity = hooks_.capacityOf(service);
         if (hooks_.isBrokered(service) && capacity.slots > 0) {
-            // Without the broker, each entry host uses only its share of every server.
             const auto share = static_cast<std::uint32_t>(capacity.slots / entryHostCount_);
             capacity.slots = std::max(1U, share);
         }
@@ -71,6 +77,15 @@
     });
 }
 
+std::uint64_t SlotClient::shareOfLimit(std::uint64_t requestsPerKs) const
+{
+    // Less than an equal share, as requests of hosts that do not know of each other may coincide.
+    constexpr double localShare = 0.75;
+    const double share
+        = localShare * static_cast<double>(requestsPerKs) / static_cast<double>(entryHostCount_);
+    return std::max<std::uint64_t>(1, static_cast<std::uint64_t>(share));
+}
+
 void SlotClient::markServerLeaving(std::uint64_t ticket)
 {
     const auto granted = granted_.find(ticket);
@@ -95,6 +110,34 @@
     }
 }
 
+void SlotClient::noteServerLimit(std::uint64_t ticket, std::uint64_t requestsPerKs)
+{
+    const auto granted = granted_.find(ticket);
+    if (granted == granted_.end()) {
+        return;
+    }
+    const ServerProcess process{granted->second.server, granted->second.startedAtMs};
+    if (limits_.note(granted->second.service, process, requestsPerKs)) {
+        LogLine(LogLevel::Info, "server_names_limit")
+            .add("server", process.server.value)
+            .add("requests_per_ks", static_cast<std::int64_t>(requestsPerKs))
+            .write();
+        updateLocalServers();
+        reportLimits();
+    }
+}
+
+void SlotClient::reportLimits()
+{
+    if (broker_.empty()) {
+        return;
+    }
+    for (const ServerLimit &limit :
+         limits_.takeReports(clock_.monotonic(), options_.limitReportInterval)) {
+        hooks_.reportServerLimit(broker_, limit);
+    }
+}
+
 void SlotClient::reportHeldSlots()
 {
     SlotsHeld held;
@@ -117,7 +160,8 @@
 {
     const std::uint64_t ticket = nextTicket_++;
     request.ticket = ticket;
-    const bool brokered = hooks_.isBrokered(request.service);
+    // Hosts that choose for themselves could keep the limit of a server only on average.
+    const bool brokered = hooks_.isBrokered(request.service) || limits_.hasLimit(request.service);
     pending_.emplace(ticket,
                      Pending{.request = std::move(request),
                              .done = std::move(done),
@@ -161,13 +205,17 @@
     if (pending == pending_.end()) {
         return;
     }
+    if (!local) {
+        localBroker_.countRequest(grant.server);
+    }
     const SlotRequest &request = pending->second.request;
     finish(grant.ticket, {grant.server, grant.address, Milliseconds(0), grant.bornMs},
            Granted{.server = grant.server,
                    .startedAtMs = grant.bornMs,
+                   .service = request.service,
                    .tokens = request.tokens,
                    .local = local,
-                   .brokered = hooks_.isBrokered(request.service),
+                   .brokered = !local || hooks_.isBrokered(request.service),
                    .grantedAt = clock_.monotonic()});
 }
 
@@ -310,6 +358,7 @@
     if (!broker_.empty() && now >= nextProbe_) {
         nextProbe_ = now + options_.probeInterval;
         reportLeavingServers();
+        reportLimits();
         if (brokerUnresponsive_) {
             reportHeldSlots();
         }
--- a/persimmonlb/slots/slotclient.h
+++ b/persimmonlb/slots/slotclient.h
@@ -11,6 +11,7 @@
 #include "persimmonlb/base/ids.h"
 #include "persimmonlb/fleet/fleetview.h"
 #include "persimmonlb/fleet/leavingservers.h"
+#include "persimmonlb/slots/namedlimits.h"
 #include "persimmonlb/slots/slotbroker.h"
 
 namespace persimmonlb
@@ -23,6 +24,8 @@
     Milliseconds brokerTimeout{80};
     /// Interval at which a bypassed broker is probed.
     Milliseconds probeInterval{300};
+    /// Interval at which the broker is told of a limit that its view does not have.
+    Milliseconds limitReportInterval{100};
 };
 
 struct SlotClientHooks {
@@ -31,6 +34,10 @@
     std::function<bool(const HostId &to, const SlotEnd &end)> end;
     std::function<bool(const HostId &to, const SlotsHeld &held)> reportHeldSlots;
     std::function<bool(const HostId &to, const ServerLeaving &leaving)> reportServerLeaving;
+    std::function<bool(const HostId &to, const ServerLimit &limit)> reportServerLimit
+        = [](const HostId & /*to*/, const ServerLimit & /*limit*/) {
+              return false;
+          };
     std::function<SlotCapacity(const ServiceName &service)> capacityOf;
     /// True if the broker allocates the slots of the service; else this host chooses a server.
     std::function<bool(const ServiceName &service)> isBrokered;
@@ -65,6 +72,10 @@
     /// Records that the server of this ticket's slot reported that it is leaving. It gets no new
     /// work from this host from now on, even if the broker cannot be notified.
     void markServerLeaving(std::uint64_t ticket);
+    /// Records the limit that the server of this ticket's slot named in its response, in requests
+    /// per 1,000 s; 0: none. It holds on this host at once, and for the fleet once the broker
+    /// knows.
+    void noteServerLimit(std::uint64_t ticket, std::uint64_t requestsPerKs);
     /// Releases a slot, or cancels a request.
     void end(std::uint64_t ticket, SlotOutcome outcome);
 
@@ -90,6 +101,7 @@
     struct Granted {
         ServerId server;
         std::uint64_t startedAtMs = 0;
+        ServiceName service;
         std::uint64_t tokens = 0;
         bool local = false;
         bool brokered = false;
@@ -108,6 +120,9 @@
     void updateLocalServers();
     /// Notifies the broker of leaving servers that its view still lists as available.
     void reportLeavingServers();
+    void reportLimits();
+    /// Returns the share of a server's limit that this host may use without the broker.
+    [[nodiscard]] std::uint64_t shareOfLimit(std::uint64_t requestsPerKs) const;
     [[nodiscard]] bool isBrokerResponsive() const;
 
     SlotClientOptions options_;
@@ -118,6 +133,7 @@
     LeavingServers leaving_;
     /// Leaving servers that the view does not mark as draining.
     std::vector<ServerLeaving> unreportedLeaving_;
+    NamedLimits limits_;
     HostId broker_;
     std::uint64_t brokerTerm_ = 0;
     bool brokerUnresponsive_ = true;
--- a/persimmonlb/slots/slotqueue.cpp
+++ b/persimmonlb/slots/slotqueue.cpp
@@ -38,14 +38,23 @@
         return Milliseconds::max();
     }
     const Milliseconds hold = typicalHoldTime(service);
+    Milliseconds minWait(0);
+    if (const double rate = limitedRequestRate(service); rate > 0) {
+        // A slot that becomes free on a server with a limit may not be granted at once.
+        constexpr double msPerSecond = 1000;
+        minWait = Milliseconds(
+            static_cast<std::int64_t>(msPerSecond * static_cast<double>(ahead + 1) / rate));
+    }
     const std::vector<MonotonicTime> &grantTimes = services_.at(service).grantTimes;
     if (grantTimes.empty()) {
-        return hold * (ahead + 1) / slots;
+        return std::max<Milliseconds>(minWait, hold * (ahead + 1) / slots);
     }
     // Each slot that becomes free is granted to the next request and held for the typical time.
     const auto elapsed = std::chrono::duration_cast<Milliseconds>(
         clock_.monotonic() - grantTimes[ahead % grantTimes.size()]);
-    return std::max(hold - elapsed, hold / overdueHoldDivisor) + hold * (ahead / grantTimes.size());
+    const Milliseconds untilFree
+        = std::max(hold - elapsed, hold / overdueHoldDivisor) + hold * (ahead / grantTimes.size());
+    return std::max(minWait, untilFree);
 }
 
 std::size_t SlotBroker::queuedAhead(const Service &service, const SlotRequest &request) const
--- a/persimmonlb/wire/internal/messagefields.h
+++ b/persimmonlb/wire/internal/messagefields.h
@@ -240,6 +240,7 @@
     archive.field("z", message.availabilityZone);
     archive.field("n", message.slots);
     archive.field("d", message.draining);
+    archive.field("rl", message.requestsPerKs);
 }
 
 template <typename Archive>
@@ -417,6 +418,14 @@
     archive.field("n", message.bornMs);
 }
 
+template <typename Archive>
+void describeFields(Archive &archive, Fields<Archive, ServerLimit> &message)
+{
+    archive.field("s", message.server);
+    archive.field("b", message.bornMs);
+    archive.field("r", message.requestsPerKs);
+}
+
 template <typename Archive>
 void describeFields(Archive &archive, Fields<Archive, SlotRefusal> &message)
 {
--- a/persimmonlb/wire/message.cpp
+++ b/persimmonlb/wire/message.cpp
@@ -90,7 +90,8 @@
         "lease_grant",    "server_digest",   "yield_request",  "fleet_view",     "host_report",
         "routes_push",    "server_notice",   "notice_reply",   "member_removed", "slot_request",
         "slot_grant",     "slot_refusal",    "slot_end",       "slots_held",     "leader_beat",
-        "run_verdict",    "crash_suspects",  "fleet_change",   "attached_hosts"};
+        "run_verdict",    "crash_suspects",  "fleet_change",   "attached_hosts", "server_leaving",
+        "server_limit"};
     return names.at(body.index());
 }
 
--- a/persimmonlb/wire/message.h
+++ b/persimmonlb/wire/message.h
@@ -216,7 +216,7 @@
                    ServerDigest, YieldRequest, FleetView, HostReport, RoutesPush, ServerNotice,
                    ServerNoticeReply, MemberRemoved, SlotRequest, SlotGrant, SlotRefusal, SlotEnd,
                    SlotsHeld, LeaderBeat, RunVerdict, CrashSuspects, FleetChange, AttachedHosts,
-                   ServerLeaving>;
+                   ServerLeaving, ServerLimit>;
 
 struct PeerMessage {
     GroupId group = defaultGroup;
