HTTP client: test of answers that end in their head

Report of another operator: a server stopped in the middle of its answer's head and closed, and callers got a 200 with an empty body, framed as whole. Not so here: the test cuts a head after each of its bytes, and every answer ends as failed, with no head delivered.

--- a/persimmonlb/http/client_test.cpp
+++ b/persimmonlb/http/client_test.cpp
@@ -153,6 +153,25 @@
     BOOST_TEST(recorder.body == answer.body);
 }
 
+/// Guards against a head that is cut off and taken for a whole answer with an empty body.
+BOOST_AUTO_TEST_CASE(answerThatEndsInItsHeadIsNone)
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nRequest-Id: q\r\nContent-Length: 0\r\n\r\n";
+    for (std::size_t size = 0; size < head.size(); ++size) {
+        Fixture fixture;
+        Recorder recorder;
+        fixture.start(recorder);
+        RawPeer &peer = fixture.server.connection(0);
+        BOOST_TEST(peer.receives("\r\n\r\nhi"));
+        peer.send(head.substr(0, size));
+        peer.close();
+        const HttpExchangeEnd end = fixture.endOf(recorder);
+        BOOST_TEST((end.code == ResultCode::BackendFailed), "cut after " << size << " bytes");
+        BOOST_TEST((end.sendState == SendState::Sent));
+        BOOST_TEST(recorder.heads.empty());
+    }
+}
+
 BOOST_DATA_TEST_CASE(chunkedAnswerIsUnderstoodByteByByte, data::make({false, true}), bytewise)
 {
     Fixture fixture;
