Planned stop: late requests are refused, and none ends without an answer

Report of another operator: requests that came late in the grace of a planned stop were taken and cut at its end without an answer. It could happen here: callers are taken for up to 7.1 s of 8 s, and what still ran at 7.7 s was cut with the process. Requests that come with less than 2 s left are refused as not run, so that their callers try another host in time, and 0.2 s before the end every open request is answered: 502 if it was sent to a server, 503 if not. Responses that have begun are aborted, as before. Tests refusesRequestsThatComeTooLateInAPlannedStop, answersAllRequestsBeforeTheProcessEnds: no counterpart before.

--- a/persimmonlb/fleetnode/gatewayrole.cpp
+++ b/persimmonlb/fleetnode/gatewayrole.cpp
@@ -18,6 +18,11 @@
 constexpr Milliseconds lastAnswers{1600};
 /// Of the stop grace, never used: the process must end by itself before it is killed.
 constexpr Milliseconds exitMargin{300};
+/// Before the process ends: for the answers to requests that have not ended.
+constexpr Milliseconds lastErrors{200};
+/// A request that comes with less of the stop grace left is refused, so that its caller tries
+/// another host while there is time. Longer than most requests last.
+constexpr Milliseconds leastTimeToServe{2000};
 /// For the leader to confirm that this host is no longer named; it may be unreachable.
 constexpr Milliseconds confirmation{700};
 /// From the start of all processes until each host has routes: stores are opened, a leader is
@@ -176,10 +181,24 @@
 {
     slots_.tick();
     verdicts_.tick();
+    if (isDraining()) {
+        endInTime();
+    }
     relay_.tick();
     drain_.tick();
 }
 
+void GatewayRole::endInTime()
+{
+    const Milliseconds left = deps_.settings.stopGrace - exitMargin - sinceDrain();
+    if (left < leastTimeToServe) {
+        relay_.refuseNewRequests();
+    }
+    if (left < lastErrors) {
+        relay_.endAll();
+    }
+}
+
 void GatewayRole::beginDrain()
 {
     if (drain_.stage() == DrainStage::Serving) {
--- a/persimmonlb/fleetnode/gatewayrole.h
+++ b/persimmonlb/fleetnode/gatewayrole.h
@@ -80,6 +80,8 @@
     [[nodiscard]] bool isEngine(const ServiceName &service) const;
     [[nodiscard]] bool listedByLeader() const;
     [[nodiscard]] Milliseconds sinceDrain() const;
+    /// During a planned stop: refuses requests that come too late and answers what is left.
+    void endInTime();
 
     GatewayRoleDeps deps_;
     std::shared_ptr<const RouteTable> routes_;
--- a/persimmonlb/relay/internal/relaycall.cpp
+++ b/persimmonlb/relay/internal/relaycall.cpp
@@ -487,6 +487,13 @@
     finish("caller_gone", "");
 }
 
+void RelayService::Call::end()
+{
+    possibleRuns_ += stage_ == Stage::Sent ? 1 : 0;
+    endAttempt(SlotOutcome::Abandoned);
+    giveUp(makeError(ResultCode::Draining, "this host is stopping"));
+}
+
 Milliseconds RelayService::Call::progressTimeout() const
 {
     const RelayOptions &options = service_.options_;
--- a/persimmonlb/relay/relayservice.cpp
+++ b/persimmonlb/relay/relayservice.cpp
@@ -30,6 +30,14 @@
 
 void RelayService::relay(RelayRequest request, std::shared_ptr<HttpResponder> responder)
 {
+    if (refusesNewRequests_) {
+        Error error = makeError(ResultCode::Draining, "this host is stopping");
+        error.retryAfter = Milliseconds(0);
+        error.run = RunState::NotRun;
+        metrics_.count("persimmonlb_relay_requests_total", {{"outcome", "refused"}});
+        responder->respond(hooks_.codec.encodeError(request.id, error));
+        return;
+    }
     const std::uint64_t number = nextCall_++;
     const auto call
         = std::make_shared<Call>(*this, number, std::move(request), std::move(responder));
@@ -37,16 +45,33 @@
     call->start();
 }
 
+void RelayService::refuseNewRequests()
+{
+    refusesNewRequests_ = true;
+}
+
+void RelayService::endAll()
+{
+    for (const auto &call : openCalls()) {
+        call->end();
+    }
+}
+
 void RelayService::tick()
+{
+    for (const auto &call : openCalls()) {
+        call->tick();
+    }
+}
+
+std::vector<std::shared_ptr<RelayService::Call>> RelayService::openCalls() const
 {
     std::vector<std::shared_ptr<Call>> open;
     open.reserve(calls_.size());
     for (const auto &[number, call] : calls_) {
         open.push_back(call);
     }
-    for (const auto &call : open) {
-        call->tick();
-    }
+    return open;
 }
 
 std::size_t RelayService::openRequests() const
--- a/persimmonlb/relay/relayservice.h
+++ b/persimmonlb/relay/relayservice.h
@@ -95,6 +95,10 @@
 
     /// Forwards the request and answers it through `responder`, unless the caller disconnects.
     void relay(RelayRequest request, std::shared_ptr<HttpResponder> responder);
+    /// Refuses all requests from now on: the host stops before they could be answered.
+    void refuseNewRequests();
+    /// Answers every request with an error, or aborts its response if that has begun.
+    void endAll();
     /// Refuses requests that wait for a slot past their deadline and retries those whose server is
     /// unresponsive. Call about every 20 ms.
     void tick();
@@ -104,6 +108,7 @@
 private:
     class Call;
 
+    [[nodiscard]] std::vector<std::shared_ptr<Call>> openCalls() const;
     void remove(std::uint64_t number);
     /// Counts a log line against maxSuccessLinesPerSecond; returns false if the limit is reached.
     bool mayLogSuccess();
@@ -114,6 +119,7 @@
     SlotClient &slots_;
     Metrics &metrics_;
     RelayHooks hooks_;
+    bool refusesNewRequests_ = false;
     std::uint64_t nextCall_ = 1;
     std::map<std::uint64_t, std::shared_ptr<Call>> calls_;
     MonotonicTime logWindowStart_;
--- a/persimmonlb/relay/relayservice_test.cpp
+++ b/persimmonlb/relay/relayservice_test.cpp
@@ -529,6 +529,46 @@
     BOOST_TEST(fixture.caller->status == 502);
 }
 
+/// Guards against requests that are taken late in a planned stop and cut at its end.
+BOOST_AUTO_TEST_CASE(refusesRequestsThatComeTooLateInAPlannedStop)
+{
+    Fixture fixture;
+    fixture.relay(RouteKind::OnceOnly);
+    fixture.relayService.refuseNewRequests();
+    const auto early = fixture.caller;
+    fixture.caller = std::make_shared<FakeResponder>();
+    fixture.relay(RouteKind::OnceOnly);
+    BOOST_TEST(fixture.sendings.size() == 1U);
+    BOOST_TEST(fixture.caller->status == 503);
+    fixture.head(200);
+    fixture.end(ResultCode::Ok);
+    BOOST_TEST(early->status == 200);
+}
+
+/// Guards against callers whose connection ends without an answer when the process ends.
+BOOST_AUTO_TEST_CASE(answersAllRequestsBeforeTheProcessEnds)
+{
+    Fixture fixture;
+    fixture.relay(RouteKind::OnceOnly);
+    const auto sent = fixture.caller;
+    fixture.caller = std::make_shared<FakeResponder>();
+    fixture.relayWithoutRunning(RouteKind::OnceOnly);
+    const auto waiting = fixture.caller;
+    fixture.caller = std::make_shared<FakeResponder>();
+    fixture.relay(RouteKind::Streaming, true);
+    fixture.head(200);
+    fixture.chunk(eventText(0));
+    const auto begun = fixture.caller;
+    fixture.relayService.endAll();
+    fixture.later.run();
+    // Only what was not sent is promised not to run.
+    BOOST_TEST(sent->status == 502);
+    BOOST_TEST(begun->aborted);
+    BOOST_TEST((waiting->status == 503 || waiting->status == 502));
+    BOOST_TEST(fixture.relayService.openRequests() == 0U);
+    BOOST_TEST(fixture.sendings[0]->closed);
+}
+
 BOOST_AUTO_TEST_CASE(reportsVerdictsOfAbortedAndAnsweredRuns)
 {
     Fixture fixture;
