Slots: servers with a limit may get a second and a half of it at once

Callers on sites with limited servers were refused in bursts although the servers had been idle just before: the bucket saved up two requests. It saves up what the limit allows in 1.5 s; with that, four seconds hold at most 5.5 times the limit and two more. Bulk runs start only when the bucket is full.

--- a/persimmonlb/slots/requestlimiter.cpp
+++ b/persimmonlb/slots/requestlimiter.cpp
@@ -20,9 +20,14 @@
     return std::min(burst_, available_ + rate_ * elapsed.count());
 }
 
-bool RequestLimiter::allows(double requests, MonotonicTime now) const
+bool RequestLimiter::allowsRequest(MonotonicTime now) const
 {
-    return rate_ <= 0 || available(now) >= requests;
+    return rate_ <= 0 || available(now) >= 1;
+}
+
+bool RequestLimiter::allowsBurst(MonotonicTime now) const
+{
+    return rate_ <= 0 || available(now) >= burst_;
 }
 
 void RequestLimiter::take(MonotonicTime now)
--- a/persimmonlb/slots/requestlimiter.h
+++ b/persimmonlb/slots/requestlimiter.h
@@ -14,8 +14,10 @@
     /// requests that may be sent at once after a pause. A bucket that had no rate before starts
     /// with `initialRequests`.
     void setRate(double perSecond, double burst, double initialRequests, MonotonicTime now);
-    /// True if `requests` may be sent now.
-    [[nodiscard]] bool allows(double requests, MonotonicTime now) const;
+    /// True if a request may be sent now.
+    [[nodiscard]] bool allowsRequest(MonotonicTime now) const;
+    /// True if the whole burst may be sent now.
+    [[nodiscard]] bool allowsBurst(MonotonicTime now) const;
     /// Counts a request that is sent, even if it is not allowed.
     void take(MonotonicTime now);
     /// Returns the rate in requests per second; 0: no limit.
--- a/persimmonlb/slots/requestlimits_test.cpp
+++ b/persimmonlb/slots/requestlimits_test.cpp
@@ -43,7 +43,7 @@
 {
     RequestLimiter limiter;
     for (int count = 0; count < 100; ++count) {
-        BOOST_TEST(limiter.allows(1, start));
+        BOOST_TEST(limiter.allowsRequest(start));
         limiter.take(start);
     }
 }
@@ -55,7 +55,7 @@
     int sent = 0;
     for (int ms = 0; ms < 10000; ms += 10) {
         const MonotonicTime now = start + Milliseconds(ms);
-        while (limiter.allows(1, now)) {
+        while (limiter.allowsRequest(now)) {
             limiter.take(now);
             ++sent;
         }
@@ -64,8 +64,10 @@
     BOOST_TEST(sent <= 27);
     const MonotonicTime later = start + std::chrono::minutes(5);
     sent = 0;
-    while (limiter.allows(1, later)) {
+    BOOST_TEST(limiter.allowsBurst(later));
+    while (limiter.allowsRequest(later)) {
         limiter.take(later);
+        BOOST_TEST(!limiter.allowsBurst(later));
         ++sent;
     }
     BOOST_TEST(sent == 2);
@@ -77,9 +79,9 @@
     limiter.setRate(1, 2, 1, start);
     limiter.take(start);
     limiter.setRate(100, 2, 1, start);
-    BOOST_TEST(!limiter.allows(1, start));
+    BOOST_TEST(!limiter.allowsRequest(start));
     limiter.setRate(0, 2, 1, start);
-    BOOST_TEST(limiter.allows(1, start));
+    BOOST_TEST(limiter.allowsRequest(start));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/persimmonlb/slots/slotbatch.cpp
+++ b/persimmonlb/slots/slotbatch.cpp
@@ -17,7 +17,7 @@
     request.service = service;
     request.availabilityZone = options_.availabilityZone;
     request.tokens = tokens;
-    Server *server = bestServerFor(request, options_.requestBurst);
+    Server *server = bestServerFor(request, true);
     if (server == nullptr) {
         return std::nullopt;
     }
--- a/persimmonlb/slots/slotbroker.cpp
+++ b/persimmonlb/slots/slotbroker.cpp
@@ -61,7 +61,6 @@
 void SlotBroker::updateLimit(Server &server)
 {
     constexpr double secondsPerKs = 1000;
-    constexpr double maxBurstSeconds = 0.5;
     const double rate = static_cast<double>(server.info.requestsPerKs) / secondsPerKs;
     if (rate == server.limiter.rate()) {
         return;
@@ -69,14 +68,15 @@
     constexpr double steps = 1000;
     const double first
         = options_.staggersFirstRequest ? static_cast<double>(random_() % 1000) / steps : 1;
-    server.limiter.setRate(rate, std::max(options_.requestBurst, rate * maxBurstSeconds), first,
+    const double burstSeconds = std::chrono::duration<double>(options_.burstTime).count();
+    server.limiter.setRate(rate, std::max(options_.minBurst, rate * burstSeconds), first,
                            clock_.monotonic());
 }
 
 bool SlotBroker::allowsRequest(const ServerId &server) const
 {
     const auto found = servers_.find(server);
-    return found != servers_.end() && found->second.limiter.allows(1, clock_.monotonic());
+    return found != servers_.end() && found->second.limiter.allowsRequest(clock_.monotonic());
 }
 
 void SlotBroker::countRequest(const ServerId &server)
--- a/persimmonlb/slots/slotbroker.h
+++ b/persimmonlb/slots/slotbroker.h
@@ -41,9 +41,11 @@
     /// request.
     std::uint32_t failuresUntilBackoff = 2;
     std::size_t maxQueued = 4096; ///< Queued requests of all services together.
-    /// Requests that a server with a limit may get at once after a pause. A batch run is started
-    /// only if that many are allowed, so that online requests find the server ready.
-    double requestBurst = 2;
+    /// Requests that a server with a limit may get at once after a pause: as many as its limit
+    /// allows in `burstTime`, but at least `minBurst`. A batch run is started only if all of them
+    /// are allowed, so that bursts of online requests find the server ready.
+    Milliseconds burstTime{1500};
+    double minBurst = 2;
     /// A limit becomes known to several hosts at once; those that choose locally must not all send
     /// a request then. If true, a server allows the first request after a random part of the
     /// interval between two.
@@ -215,7 +217,7 @@
     /// True if the server is neither draining nor in backoff.
     [[nodiscard]] static bool isUsable(const Server &server, MonotonicTime now);
     [[nodiscard]] static bool canAccept(const Server &server, std::uint64_t tokens,
-                                        MonotonicTime now, double requests = 1);
+                                        MonotonicTime now);
     /// Returns the lower of the announced and the configured slots, or 1 if the server is
     /// half-open.
     [[nodiscard]] static std::uint32_t slotLimit(const Server &server);
@@ -227,8 +229,8 @@
                                              double serviceAverageHoldMs, MonotonicTime now);
     /// Returns an empty list for an unknown service.
     [[nodiscard]] const std::vector<Server *> &serversOf(const ServiceName &service) const;
-    /// `requests`: how many requests the limit of the server must allow.
-    [[nodiscard]] Server *bestServerFor(const SlotRequest &request, double requests = 1);
+    /// `isBatch`: the limit of the server must allow a whole burst.
+    [[nodiscard]] Server *bestServerFor(const SlotRequest &request, bool isBatch = false);
     void updateLimit(Server &server);
     /// Returns the requests per second that the service's usable servers can begin, or 0 if none of
     /// them has a limit.
--- a/persimmonlb/slots/slotchoice.cpp
+++ b/persimmonlb/slots/slotchoice.cpp
@@ -51,11 +51,10 @@
     return !server.info.draining && now >= server.backoffUntil;
 }
 
-bool SlotBroker::canAccept(const Server &server, std::uint64_t tokens, MonotonicTime now,
-                           double requests)
+bool SlotBroker::canAccept(const Server &server, std::uint64_t tokens, MonotonicTime now)
 {
     if (!isUsable(server, now) || occupiedSlots(server, now) >= slotLimit(server)
-        || !server.limiter.allows(requests, now)) {
+        || !server.limiter.allowsRequest(now)) {
         return false;
     }
     const std::uint64_t maxTokens = server.capacity.cacheTokens;
@@ -93,7 +92,7 @@
     return known == services_.end() ? noServers : known->second.servers;
 }
 
-SlotBroker::Server *SlotBroker::bestServerFor(const SlotRequest &request, double requests)
+SlotBroker::Server *SlotBroker::bestServerFor(const SlotRequest &request, bool isBatch)
 {
     Server *best = nullptr;
     double lowest = 0;
@@ -104,7 +103,7 @@
     const MonotonicTime now = clock_.monotonic();
     for (Server *candidate : serversOf(request.service)) {
         Server &server = *candidate;
-        if (!canAccept(server, request.tokens, now, requests)
+        if (!canAccept(server, request.tokens, now) || (isBatch && !server.limiter.allowsBurst(now))
             || std::ranges::find(request.excluded, server.info.id) != request.excluded.end()) {
             continue;
         }
--- a/persimmonlb/slots/slotclient.cpp
+++ b/persimmonlb/slots/slotclient.cpp
@@ -14,8 +14,11 @@
     , clock_(clock)
     , hooks_(std::move(hooks))
     , localBroker_(
-          SlotBrokerOptions{
-              .availabilityZone = {}, .requestBurst = 1, .staggersFirstRequest = true},
+          // Pauses of many hosts end at once, so each one saves up a single request.
+          SlotBrokerOptions{.availabilityZone = {},
+                            .burstTime = Milliseconds(0),
+                            .minBurst = 1,
+                            .staggersFirstRequest = true},
           std::move(clock), std::move(random),
           SlotBrokerHooks{.grant =
                               [this](const HostId &, const SlotGrant &grant) {
