--- a/scripts/lib/fleetdriver.sh
+++ b/scripts/lib/fleetdriver.sh
@@ -34,9 +34,9 @@
   pids+=("$driver")
 }
 
-# disturb COMMAND...   Disturbs a host and tells the stand-in.
+# disturb COMMAND...   Disturbs a host and tells the stand-in; disturbances.txt says when.
 disturb() {
-  echo "disturbance: $*"
+  echo "$(date +%T.%3N) $*" >>"$work/disturbances.txt"
   "$@"
   kill -USR1 "$driver"
 }
@@ -61,8 +61,8 @@
 declare -A stopping=() # Hosts in a planned stop.
 
 stop_node() { # NAME   Begins a planned stop, see restart_stopped.
-  kill -TERM "${pid_of[$1]}"
   stopping[$1]=1
+  kill -TERM "${pid_of[$1]}"
 }
 
 # restart_stopped   Starts the hosts again whose planned stop has ended.
@@ -77,12 +77,21 @@
   done
 }
 
-freeze_node() { # NAME SECONDS
-  kill -STOP "${pid_of[$1]}"
+freeze_node() { # NAME SECONDS   Nothing if a planned stop of the host has just ended.
+  kill -STOP "${pid_of[$1]}" 2>/dev/null || return 0
   sleep "$2"
   kill -CONT "${pid_of[$1]}"
 }
 
+# check_running   Fails the test if a host that nobody stopped has ended.
+check_running() {
+  local name
+  for name in "${!pid_of[@]}"; do
+    case $name in store-* | entry-*) ;; *) continue ;; esac
+    [ -n "${stopping[$name]:-}" ] || kill -0 "${pid_of[$name]}" 2>/dev/null || fail "$name ended by itself"
+  done
+}
+
 # finish_driver   Waits for the stand-in; fails the test if it found a bound broken.
 finish_driver() {
   local status=0
