--- a/persimmonlb/crashes/promptparts_test.cpp
+++ b/persimmonlb/crashes/promptparts_test.cpp
@@ -192,6 +192,7 @@
     abortThreeRequests({deadly});
     const std::vector<HostId> hosts{{"e1"}, {"e2"}, {"e3"}};
     std::vector<std::unique_ptr<CrashSuspectCache>> caches;
+    caches.reserve(hosts.size());
     for (const HostId &host : hosts) {
         caches.push_back(std::make_unique<CrashSuspectCache>(clock, host));
     }
--- a/persimmonlb/crashes/promptpartsload_test.cpp
+++ b/persimmonlb/crashes/promptpartsload_test.cpp
@@ -283,6 +283,7 @@
         }
         pushedVersion_ = ledger_->version();
         std::vector<HostId> probers;
+        probers.reserve(hostCount);
         for (int number = 0; number < hostCount; ++number) {
             probers.push_back(HostId{"e" + std::to_string(number)});
         }
