Soak: a signal before exec no longer runs the test's clean-up

Cause: the stand-in was signalled before it had replaced the shell that was to start it; that shell ran the clean-up of the whole test, which ended every host. Programs are started from a shell without the clean-up now, and the stand-in is signalled only once it says that it is ready.

--- a/scripts/lib/cluster.sh
+++ b/scripts/lib/cluster.sh
@@ -89,7 +89,8 @@
 start() {
   local name=$1
   shift
-  "$@" >>"$work/$name.log" 2>&1 &
+  # A signal that arrives before exec must not run the test's own clean-up.
+  (trap - EXIT && exec "$@") >>"$work/$name.log" 2>&1 &
   pid_of[$name]=$!
   pids+=("$!")
 }
--- a/scripts/lib/fleetdriver.sh
+++ b/scripts/lib/fleetdriver.sh
@@ -27,11 +27,12 @@
 start_driver() {
   local stores=$1 entries=$2
   shift 2
-  "$bin/fleetdriver" --entries "$(node_list entry "$entries" "$caller_port")" \
+  (trap - EXIT && exec "$bin/fleetdriver" --entries "$(node_list entry "$entries" "$caller_port")" \
     --controls "$(node_list store "$stores" "$control_port")" --host chat.example --path /chat/ \
-    --service lettering-lm --address "$net.200" "$@" >"$work/driver.txt" 2>&1 &
+    --service lettering-lm --address "$net.200" "$@") >"$work/driver.txt" 2>&1 &
   driver=$!
   pids+=("$driver")
+  wait_for 20 grep -q ready "$work/driver.txt" || fail "start of the stand-in"
 }
 
 # disturb COMMAND...   Disturbs a host and tells the stand-in; disturbances.txt says when.
