Crash ledger: a new leader blocks no part that a deadly one explains

Callers whose prompts share a part that had only occurred beside a deadly one were refused after a change of leader. Cause: a leader marks such parts as explained by the blocked one, but the list that its successor adopts holds no mark, so the successor convicted them from the same aborted runs. Found in the review of the change. blocksNoPartBesideADeadlyOneAfterLeaderChange failed before: the part that all prompts share was blocked. The mark follows from the aborted runs that the list names, so it is made again when a list is adopted.

--- a/persimmonlb/crashes/crashledger.cpp
+++ b/persimmonlb/crashes/crashledger.cpp
@@ -172,12 +172,17 @@
         return false;
     }
     block(best->first, best->second);
+    markExplainedBy(best->second);
+    return true;
+}
+
+void CrashLedger::markExplainedBy(const Record &blocked)
+{
     for (auto &[fingerprint, record] : records_) {
-        const bool shared = record.isPart && record.blocks == 0
-            && std::ranges::includes(best->second.processes, record.processes);
-        record.isExplained = record.isExplained || shared;
+        const bool isShared = record.isPart && record.blocks == 0
+            && std::ranges::includes(blocked.processes, record.processes);
+        record.isExplained = record.isExplained || isShared;
     }
-    return true;
 }
 
 void CrashLedger::block(std::uint64_t fingerprint, Record &record)
@@ -304,6 +309,11 @@
         }
         records_[suspect.fingerprint] = std::move(record);
     }
+    for (const auto &[fingerprint, record] : records_) {
+        if (record.isPart && record.blocks > 0) {
+            markExplainedBy(record);
+        }
+    }
 }
 
 std::uint64_t requestFingerprint(std::string_view target, std::string_view body)
--- a/persimmonlb/crashes/crashledger.h
+++ b/persimmonlb/crashes/crashledger.h
@@ -110,6 +110,8 @@
     void addProcess(Record &record, const RunVerdict &verdict, MonotonicTime at);
     void addIncident(Record &record, MonotonicTime at) const;
     [[nodiscard]] bool isPartConvicted(const Record &record) const;
+    /// Marks the parts all of whose aborted runs had the blocked part too.
+    void markExplainedBy(const Record &blocked);
     /// Blocks the part that explains the most aborted runs; returns false if there is none.
     bool blockNextPart();
     void block(std::uint64_t fingerprint, Record &record);
--- a/persimmonlb/crashes/promptparts_test.cpp
+++ b/persimmonlb/crashes/promptparts_test.cpp
@@ -247,6 +247,20 @@
     BOOST_TEST(ledger.isBlocked(deadly));
 }
 
+/// Guards against a new leader that blocks the sound parts which occurred beside a deadly one.
+BOOST_AUTO_TEST_CASE(blocksNoPartBesideADeadlyOneAfterLeaderChange)
+{
+    abortThreeRequests({shared, rare, deadly});
+    CrashSuspectCache cache(clock, HostId{"h"});
+    cache.update(ledger.suspects());
+    ledger = CrashLedger(CrashLedgerOptions{}, clock);
+    ledger.adopt(cache.currentSuspects());
+    advance(1000);
+    BOOST_TEST(ledger.isBlocked(deadly));
+    BOOST_TEST(!ledger.isBlocked(rare));
+    BOOST_TEST(!ledger.isBlocked(shared));
+}
+
 BOOST_AUTO_TEST_CASE(keepsBlockedSuspectsWhenManyOthersAppear)
 {
     abortThreeRequests({deadly});
