Slots: an old response's limit is not reported to the leader

Servers with a limit could get more than it for a moment, or callers be refused after it had ended: a host that was out of touch, or that rarely sent to a server, reported what it had last seen there to each new leader and each 300 ms, against later responses at other hosts. A limit that no response named for two seconds is not reported now; on that host it stays in force, and the end of a limit is forgotten in favour of the view. Found in the review of the change. reportsNoLimitThatWasNotNamedLately and keepsALimitThatTheViewDoesNotHave fail without the check of age. endsTheLimitWhenServersNameItNoMore shows on the model of the fleet that a limit ends with the responses that name it; it guards what worked before.

--- a/persimmonlb/slots/namedlimits.cpp
+++ b/persimmonlb/slots/namedlimits.cpp
@@ -29,15 +29,18 @@
 }
 
 bool NamedLimits::note(const ServiceName &service, const ServerProcess &process,
-                       std::uint64_t requestsPerKs)
+                       std::uint64_t requestsPerKs, MonotonicTime now)
 {
     const std::uint64_t before = limitOf(process);
     if (requestsPerKs == viewLimitOf(process)) {
         notes_.erase(process);
-    } else if (before != requestsPerKs) {
-        notes_[process]
-            = Note{.service = service, .requestsPerKs = requestsPerKs, .reportedAt = {}};
+        return before != requestsPerKs;
     }
+    Note &note = notes_[process];
+    note.service = service;
+    note.reported = note.reported && note.requestsPerKs == requestsPerKs;
+    note.requestsPerKs = requestsPerKs;
+    note.namedAt = now;
     return before != requestsPerKs;
 }
 
@@ -63,9 +66,15 @@
 
 std::vector<ServerLimit> NamedLimits::takeReports(MonotonicTime now, Milliseconds interval)
 {
+    const auto isOld = [now](const Note &note) {
+        return now - note.namedAt > responseLifetime;
+    };
+    std::erase_if(notes_, [&isOld](const auto &entry) {
+        return entry.second.requestsPerKs == 0 && isOld(entry.second);
+    });
     std::vector<ServerLimit> due;
     for (auto &[process, note] : notes_) {
-        if (note.reported && now - note.reportedAt < interval) {
+        if (isOld(note) || (note.reported && now - note.reportedAt < interval)) {
             continue;
         }
         note.reported = true;
--- a/persimmonlb/slots/requestlimits_test.cpp
+++ b/persimmonlb/slots/requestlimits_test.cpp
@@ -93,8 +93,8 @@
     NamedLimits limits;
     limits.setView(viewWithLimit(0));
     BOOST_TEST(!limits.hasLimit(named));
-    BOOST_TEST(limits.note(named, process, 2400));
-    BOOST_TEST(!limits.note(named, process, 2400));
+    BOOST_TEST(limits.note(named, process, 2400, start));
+    BOOST_TEST(!limits.note(named, process, 2400, start));
     BOOST_TEST(limits.limitOf(process) == 2400U);
     BOOST_TEST(limits.hasLimit(named));
     BOOST_TEST(limits.takeReports(start, Milliseconds(100)).size() == 1U);
@@ -107,12 +107,36 @@
     BOOST_TEST(limits.limitOf(process) == 2400U);
 }
 
+/// Guards against a host that was out of touch and reports what a server named long ago.
+BOOST_AUTO_TEST_CASE(reportsNoLimitThatWasNotNamedLately)
+{
+    NamedLimits limits;
+    limits.setView(viewWithLimit(2400));
+    limits.note(named, process, 0, start);
+    limits.leaderChanged();
+    BOOST_TEST(limits.takeReports(start + std::chrono::seconds(3), Milliseconds(100)).empty());
+    // What the view says holds again, until a response says otherwise.
+    BOOST_TEST(limits.limitOf(process) == 2400U);
+    limits.note(named, process, 0, start + std::chrono::seconds(4));
+    BOOST_TEST(limits.takeReports(start + std::chrono::seconds(4), Milliseconds(100)).size() == 1U);
+}
+
+/// Guards against a host without a leader that forgets a limit, as it rarely sends to that server.
+BOOST_AUTO_TEST_CASE(keepsALimitThatTheViewDoesNotHave)
+{
+    NamedLimits limits;
+    limits.setView(viewWithLimit(0));
+    limits.note(named, process, 2400, start);
+    BOOST_TEST(limits.takeReports(start + std::chrono::minutes(1), Milliseconds(100)).empty());
+    BOOST_TEST(limits.limitOf(process) == 2400U);
+}
+
 BOOST_AUTO_TEST_CASE(endsALimitThatIsNoLongerNamed)
 {
     NamedLimits limits;
     limits.setView(viewWithLimit(2400));
-    BOOST_TEST(!limits.note(named, process, 2400));
-    BOOST_TEST(limits.note(named, process, 0));
+    BOOST_TEST(!limits.note(named, process, 2400, start));
+    BOOST_TEST(limits.note(named, process, 0, start));
     BOOST_TEST(limits.limitOf(process) == 0U);
     const auto reports = limits.takeReports(start, Milliseconds(100));
     BOOST_REQUIRE_EQUAL(reports.size(), 1U);
@@ -123,7 +147,7 @@
 {
     NamedLimits limits;
     limits.setView(viewWithLimit(2400));
-    limits.note(named, process, 3000);
+    limits.note(named, process, 3000, start);
     limits.setView(viewWithLimit(2400));
     BOOST_TEST(limits.limitOf(process) == 3000U);
     limits.setView(viewWithLimit(0));
@@ -135,7 +159,7 @@
 {
     NamedLimits limits;
     limits.setView(viewWithLimit(0));
-    limits.note(named, process, 2400);
+    limits.note(named, process, 2400, start);
     limits.setView({});
     BOOST_TEST(limits.limitOf(process) == 0U);
     BOOST_TEST(limits.limitOf({process.server, 2}) == 0U);
@@ -163,6 +187,7 @@
     bool brokered = true;
     int leaderLostFromMs = 0; ///< For two seconds; 0: never.
     int restartedAtMs = 0; ///< Of the first host; 0: never.
+    int namedUntilMs = runMs; ///< Servers name no limit from then on.
 };
 
 /// Entry hosts and the broker of the leader. Servers name their limit from learntAtMs on, in
@@ -335,7 +360,7 @@
             }
             sent_[answer.server].push_back(ms_);
             post([this, host, client, ticket] {
-                const bool isLimited = ms_ >= learntAtMs;
+                const bool isLimited = ms_ >= learntAtMs && ms_ < options_.namedUntilMs;
                 if (hosts_.at(host).get() == client) {
                     client->noteServerLimit(
                         *ticket,
@@ -458,6 +483,21 @@
     }
 }
 
+/// Guards against a limit that is kept although the server names it no more.
+BOOST_AUTO_TEST_CASE(endsTheLimitWhenServersNameItNoMore)
+{
+    for (const bool brokered : {true, false}) {
+        constexpr int namedUntilMs = 8000;
+        LimitedFleet fleet(
+            {.limitPerSecond = 2.4, .brokered = brokered, .namedUntilMs = namedUntilMs}, 1);
+        fleet.play();
+        // Six servers run 60 requests a second without a limit, and 14.4 with it.
+        const double seconds = (runMs - namedUntilMs - connectivityWindowMs) / 1000.0;
+        const auto sent = static_cast<double>(fleet.sentAfter(namedUntilMs + connectivityWindowMs));
+        BOOST_TEST(sent >= 50 * seconds);
+    }
+}
+
 /// A limit that is kept too strictly refuses callers for whom a server would have had room.
 BOOST_AUTO_TEST_CASE(usesMostOfWhatTheLimitsAllow)
 {
--- a/persimmonlb/slots/slotclient.cpp
+++ b/persimmonlb/slots/slotclient.cpp
@@ -120,7 +120,7 @@
         return;
     }
     const ServerProcess process{granted->second.server, granted->second.startedAtMs};
-    if (limits_.note(granted->second.service, process, requestsPerKs)) {
+    if (limits_.note(granted->second.service, process, requestsPerKs, clock_.monotonic())) {
         LogLine(LogLevel::Info, "server_names_limit")
             .add("server", process.server.value)
             .add("requests_per_ks", static_cast<std::int64_t>(requestsPerKs))
