Planned stop: a response that has begun keeps the time that is left

Callers of long streams were cut 0.2 s before the process had to end: the answers to what is left also aborted responses that had begun. Only requests without a response are answered early now.

--- a/persimmonlb/fleetnode/gatewayrole.cpp
+++ b/persimmonlb/fleetnode/gatewayrole.cpp
@@ -195,7 +195,7 @@
         relay_.refuseNewRequests();
     }
     if (left < lastErrors) {
-        relay_.endAll();
+        relay_.endUnanswered();
     }
 }
 
--- a/persimmonlb/relay/internal/relaycall.cpp
+++ b/persimmonlb/relay/internal/relaycall.cpp
@@ -487,8 +487,11 @@
     finish("caller_gone", "");
 }
 
-void RelayService::Call::end()
+void RelayService::Call::endIfUnanswered()
 {
+    if (responseStarted_) {
+        return;
+    }
     possibleRuns_ += stage_ == Stage::Sent ? 1 : 0;
     endAttempt(SlotOutcome::Abandoned);
     giveUp(makeError(ResultCode::Draining, "this host is stopping"));
--- a/persimmonlb/relay/relayservice.cpp
+++ b/persimmonlb/relay/relayservice.cpp
@@ -50,10 +50,10 @@
     refusesNewRequests_ = true;
 }
 
-void RelayService::endAll()
+void RelayService::endUnanswered()
 {
     for (const auto &call : openCalls()) {
-        call->end();
+        call->endIfUnanswered();
     }
 }
 
