Own interface: messages that crash servers are found and blocked

Callers of the own interface saw failures while servers were lost one after the other: a message that crashes servers cost one server for nearly every new request with it. The messages of a chat, each but the last, are shared parts now; the leader of the control group keeps the same ledger as the storage hosts, entry hosts the same reporter and list, and a request is checked before it asks for a server and again before it is sent.

--- a/persimmonlb/daemon/entryparts.cpp
+++ b/persimmonlb/daemon/entryparts.cpp
@@ -100,6 +100,10 @@
                              }})
     , quota(QuotaOptions{}, deps.clock)
     , suspects(suspectsOptions(deps), deps.clock, suspectsHooks())
+    , verdicts(RunVerdictReporterOptions{}, deps.clock, deps.crashes,
+               [this](const RunVerdict &verdict) {
+                   return !control.leader().empty() && deps.send(control.leader(), verdict);
+               })
     , lease(leaseOptions(deps), deps.clock, leaseHooks())
     , online(onlineOptions(deps), deps.clock, deps.random, router, quota, suspects, onlineHooks())
     , dispatcher(dispatcherOptions(deps), deps.clock, dispatcherHooks())
--- a/persimmonlb/daemon/entryrole.cpp
+++ b/persimmonlb/daemon/entryrole.cpp
@@ -56,6 +56,7 @@
         parts.lease.tick();
     }
     parts.sendDigests();
+    parts.tickVerdicts();
     parts.drain.tick();
     if (parts.deps.clock.monotonic() >= parts.nextServerTick) {
         parts.nextServerTick = parts.deps.clock.monotonic() + serverTickInterval;
--- a/persimmonlb/daemon/entryrole.h
+++ b/persimmonlb/daemon/entryrole.h
@@ -12,6 +12,7 @@
 #include "persimmonlb/base/ids.h"
 #include "persimmonlb/base/metrics.h"
 #include "persimmonlb/control/leasekeeper.h"
+#include "persimmonlb/crashes/crashsuspectcache.h"
 #include "persimmonlb/daemon/settings.h"
 #include "persimmonlb/daemon/timers.h"
 #include "persimmonlb/http/client.h"
@@ -48,6 +49,8 @@
     /// Entry hosts as the leader lists them, for new mesh connections.
     std::function<void(const std::vector<EntryHostInfo> &)> hostsChanged;
     LocalControl control;
+    /// Suspects as the leader lists them; belongs to the host.
+    CrashSuspectCache &crashes;
     /// A planned stop has ended.
     std::function<void()> stopped;
 };
--- a/persimmonlb/daemon/entryupkeep.cpp
+++ b/persimmonlb/daemon/entryupkeep.cpp
@@ -73,6 +73,15 @@
     probes[probe] = sendToServer(address, std::move(request), probeTimeout, std::move(hooks));
 }
 
+void EntryRole::Parts::tickVerdicts()
+{
+    if (control.leader() != verdictsSentTo) {
+        verdictsSentTo = control.leader();
+        verdicts.leaderChanged();
+    }
+    verdicts.tick();
+}
+
 void EntryRole::Parts::probeServers()
 {
     for (const KnownServer &known : servers.wantProbe()) {
--- a/persimmonlb/daemon/entrywiring.cpp
+++ b/persimmonlb/daemon/entrywiring.cpp
@@ -215,6 +215,15 @@
     hooks.ended = [this](const RequestEnd &end) {
         noteRequestEnd(end);
     };
+    hooks.blockedFor = [this](const std::vector<std::uint64_t> &parts) {
+        return deps.crashes.blockedFor(parts);
+    };
+    hooks.requestSent = [this](const std::vector<std::uint64_t> &parts) {
+        deps.crashes.recordSent(parts);
+    };
+    hooks.runJudged = [this](const RunVerdict &verdict) {
+        verdicts.record(verdict);
+    };
     return hooks;
 }
 
--- a/persimmonlb/daemon/internal/entryparts.h
+++ b/persimmonlb/daemon/internal/entryparts.h
@@ -11,6 +11,7 @@
 #include "persimmonlb/api/refusalbuffer.h"
 #include "persimmonlb/control/controlclient.h"
 #include "persimmonlb/control/leasekeeper.h"
+#include "persimmonlb/crashes/runverdictreporter.h"
 #include "persimmonlb/daemon/drain.h"
 #include "persimmonlb/daemon/entryrole.h"
 #include "persimmonlb/dispatch/dispatcher.h"
@@ -55,6 +56,8 @@
     OnlineHooks onlineHooks();
     DrainHooks drainHooks();
     void registerHost();
+    /// Reports how runs ended, again to a new leader.
+    void tickVerdicts();
 
     // HTTP (entryhttp.cpp).
     void handle(HttpRequest request, const ResponderPtr &responder);
@@ -83,6 +86,8 @@
     Router router;
     QuotaLimiter quota;
     Suspects suspects;
+    RunVerdictReporter verdicts;
+    HostId verdictsSentTo; ///< The leader.
     LeaseKeeper lease;
     OnlineService online;
     Dispatcher dispatcher;
--- a/persimmonlb/daemon/node.cpp
+++ b/persimmonlb/daemon/node.cpp
@@ -2,11 +2,14 @@
 
 #include <set>
 #include <utility>
+#include <vector>
 
 #include <boost/asio/post.hpp>
 
 #include "persimmonlb/base/logline.h"
 #include "persimmonlb/base/metrics.h"
+#include "persimmonlb/crashes/crashledger.h"
+#include "persimmonlb/crashes/crashsuspectcache.h"
 #include "persimmonlb/daemon/controlrole.h"
 #include "persimmonlb/daemon/entryrole.h"
 #include "persimmonlb/daemon/peermessage.h"
@@ -21,6 +24,9 @@
 {
 
 constexpr Milliseconds tickInterval{20};
+constexpr Milliseconds crashTickInterval{100};
+/// At which the list of suspects is repeated, for hosts that missed it.
+constexpr Milliseconds crashListInterval{1000};
 constexpr RestartLimit restartLimit{.restarts = 3, .period = Milliseconds(60000)};
 
 // Names of the supervisor's children.
@@ -57,6 +63,8 @@
         , timers(context)
         , supervisor("root", restartLimit, clock, [this](const std::string &why) { fail(why); })
         , self{settings.host.id, static_cast<Incarnation>(clock.wall().time_since_epoch().count())}
+        , crashes(clock, settings.host.id)
+        , crashLedger(CrashLedgerOptions{}, clock)
     {
     }
 
@@ -67,6 +75,9 @@
     std::unique_ptr<EntryRole> makeEntry();
     bool send(const HostId &to, PeerBody body);
     void receive(const HostId &from, const PeerBody &body);
+    void leadershipChanged(bool leads);
+    /// As the leader: blocks parts that crash servers, and tells every host.
+    void tickCrashes();
     void tick();
 
     boost::asio::io_context &context;
@@ -78,6 +89,12 @@
     Timers timers;
     Supervisor supervisor;
     Owner self;
+    CrashSuspectCache crashes;
+    CrashLedger crashLedger; ///< Of the leader.
+    bool leads = false;
+    MonotonicTime nextCrashTick;
+    MonotonicTime nextCrashList;
+    std::uint64_t sentCrashList = 0;
     std::unique_ptr<ControlRole> control;
     std::unique_ptr<Mesh> mesh;
     std::set<HostId> connected;
@@ -111,6 +128,16 @@
 
 void Node::Parts::receive(const HostId &from, const PeerBody &body)
 {
+    if (const auto *suspects = std::get_if<CrashSuspects>(&body)) {
+        crashes.update(*suspects);
+        return;
+    }
+    if (const auto *verdict = std::get_if<RunVerdict>(&body)) {
+        if (leads) {
+            crashLedger.recordVerdict(*verdict);
+        }
+        return;
+    }
     if (isForControl(body)) {
         supervisor.guard(controlChild, [&] { control->receive(from, body); });
         return;
@@ -196,6 +223,7 @@
                 }
             },
         .control = std::move(local),
+        .crashes = crashes,
         .stopped =
             [this] {
                 context.stop();
@@ -216,7 +244,10 @@
             .send = [this](const HostId &to, PeerBody body) { return send(to, std::move(body)); },
             .post = [this](std::function<void()> fn) { boost::asio::post(context, std::move(fn)); },
             .failed = [this](const std::string &why) { supervisor.childFailed(controlChild, why); },
-            .leadershipChanged = nullptr});
+            .leadershipChanged =
+                [this](bool began) {
+                    leadershipChanged(began);
+                }});
         supervisor.add({controlChild, [this] { return control->start(); },
                         [this] {
                             control->stop();
@@ -252,9 +283,44 @@
                     }});
 }
 
+void Node::Parts::leadershipChanged(bool began)
+{
+    leads = began;
+    if (began) {
+        crashLedger.adopt(crashes.currentSuspects());
+        sentCrashList = 0;
+    }
+}
+
+void Node::Parts::tickCrashes()
+{
+    const MonotonicTime now = clock.monotonic();
+    if (!leads || now < nextCrashTick) {
+        return;
+    }
+    nextCrashTick = now + crashTickInterval;
+    crashLedger.tick();
+    const bool isDue = now >= nextCrashList && !crashLedger.empty();
+    if (crashLedger.version() == sentCrashList && !isDue) {
+        return;
+    }
+    sentCrashList = crashLedger.version();
+    nextCrashList = now + crashListInterval;
+    std::vector<HostId> hosts(connected.begin(), connected.end());
+    hosts.push_back(settings.host.id);
+    CrashSuspects list = crashLedger.suspects(hosts);
+    list.term = control->status().term;
+    for (const HostId &host : hosts) {
+        send(host, list);
+    }
+}
+
 void Node::Parts::tick()
 {
-    supervisor.guard(controlChild, [this] { control->tick(); });
+    supervisor.guard(controlChild, [this] {
+        control->tick();
+        tickCrashes();
+    });
     supervisor.guard(membershipChild, [this] { entry->tickMembership(); });
     supervisor.guard(routerChild, [this] { entry->tickRouter(); });
     supervisor.guard(dispatcherChild, [this] { entry->tickDispatcher(); });
--- a/persimmonlb/serving/callerrequest.cpp
+++ b/persimmonlb/serving/callerrequest.cpp
@@ -25,6 +25,8 @@
 
 constexpr Milliseconds longestDeadline{3600000};
 constexpr std::size_t longestRequestId = 128;
+/// Bounds what one request can add to the list of suspects.
+constexpr std::size_t maxSharedParts = 32;
 constexpr std::size_t longestIdempotencyKey = 256;
 
 /// Headers that concern one connection, or that are ours and no business of the server.
@@ -173,6 +175,19 @@
     return stableHash(text);
 }
 
+/// Returns the fingerprints of all messages but the last one, at most `maxSharedParts`.
+std::vector<std::uint64_t> sharedMessages(const Json &messages)
+{
+    std::vector<std::uint64_t> fingerprints;
+    const std::size_t count = messages.empty() ? 0 : messages.size() - 1;
+    for (std::size_t index = 0; index < std::min(count, maxSharedParts); ++index) {
+        const std::string text
+            = messages[index].dump(-1, ' ', false, Json::error_handler_t::replace);
+        fingerprints.push_back(std::max<std::uint64_t>(1, stableHash(text)));
+    }
+    return fingerprints;
+}
+
 } // namespace
 
 Outcome<CallerRequest> readChatRequest(const HttpRequest &request, const Sheet &sheet,
@@ -206,6 +221,7 @@
     result.stream = stream != body.end() && stream->is_boolean() && stream->get<bool>();
     result.prefixHash = promptHash(*messages, prefixBytes);
     result.fingerprint = fingerprintOf(service->name, request.body);
+    result.sharedParts = sharedMessages(*messages);
     result.toServer = HttpRequest{.method = "POST",
                                   .target = "/v1/chat/completions",
                                   .headers = forwarded(request.headers),
--- a/persimmonlb/serving/callerrequest.h
+++ b/persimmonlb/serving/callerrequest.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <string>
+#include <vector>
 
 #include "persimmonlb/base/clock.h"
 #include "persimmonlb/base/error.h"
@@ -26,6 +27,8 @@
     bool stream = false;
     std::uint64_t prefixHash = 0; ///< Of the prompt's beginning; 0 for a plain service.
     std::string fingerprint; ///< Equal for requests that would run the same.
+    /// Fingerprints of the messages that other requests may share: of a chat, all but the last.
+    std::vector<std::uint64_t> sharedParts;
     HttpRequest toServer; ///< Without the headers that belong to one attempt.
 
     bool operator==(const CallerRequest &) const = default;
--- a/persimmonlb/serving/crash_test.cpp
+++ b/persimmonlb/serving/crash_test.cpp
@@ -44,6 +44,12 @@
     };
 }
 
+/// Returns a prompt that makes two messages of a chat.
+std::string twoMessages(const std::string &first, const std::string &last)
+{
+    return first + R"("},{"role":"user","content":")" + last;
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(CrashTest)
@@ -129,6 +135,39 @@
     BOOST_TEST(bench.fleet.runs.back().server != bench.fleet.runs.front().server);
 }
 
+/// Guards against a message that crashes each server, no two requests with it alike.
+BOOST_DATA_TEST_CASE(theMessagesOfALostRunAreReported, data::make({false, true}), stream)
+{
+    ServingBench bench(1, 4);
+    bench.fleet.poison = "deadly";
+    bench.chat(0, twoMessages("deadly", "first"), stream);
+    bench.run(Milliseconds(3000));
+    const std::vector<RunVerdict> lost = std::exchange(bench.entries[0]->verdicts, {});
+    BOOST_REQUIRE(!lost.empty());
+    BOOST_TEST(lost.front().broken);
+    BOOST_TEST(lost.front().fingerprint != 0U);
+    BOOST_REQUIRE_EQUAL(lost.front().parts.size(), 1U);
+    bench.chat(0, twoMessages("sound", "first"), stream);
+    bench.run(Milliseconds(3000));
+    const std::vector<RunVerdict> begun = bench.entries[0]->verdicts;
+    BOOST_REQUIRE_EQUAL(begun.size(), 1U);
+    BOOST_TEST(!begun.front().broken);
+    BOOST_TEST((begun.front().parts != lost.front().parts));
+}
+
+/// Guards against requests that reach servers after a message of theirs was blocked.
+BOOST_AUTO_TEST_CASE(aRequestWithABlockedMessageIsRefused)
+{
+    ServingBench bench(1, 2);
+    bench.entries[0]->blockedFor = Milliseconds(60000);
+    const auto blocked = bench.chat(0, twoMessages("deadly", "first"));
+    const auto single = bench.chat(0, "hello");
+    bench.run(Milliseconds(2000));
+    BOOST_TEST((blocked->errorCode().value_or(0) == static_cast<int>(ResultCode::Quarantined)));
+    BOOST_TEST(single->status == 200);
+    BOOST_TEST(bench.fleet.runs.size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(aLostConnectionToALivingServerMakesNoSuspect)
 {
     ServingBench bench(1, 3);
--- a/persimmonlb/serving/internal/onlineattempt.cpp
+++ b/persimmonlb/serving/internal/onlineattempt.cpp
@@ -1,6 +1,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "persimmonlb/base/digest.h"
 #include "persimmonlb/serving/internal/onlinecall.h"
 
 namespace persimmonlb
@@ -50,6 +51,9 @@
     attempt_->number = number;
     attempt_->resumes = answer_.started();
     stream_.reopen();
+    if (!request_.sharedParts.empty()) {
+        context_.hooks.requestSent(request_.sharedParts);
+    }
     const Milliseconds patience
         = timeLeft() + (request_.idempotent ? Milliseconds(0) : context_.options.onceOnlyLinger);
     std::unique_ptr<HttpExchange> exchange = context_.hooks.sendToServer(
@@ -164,12 +168,30 @@
     answer_.pass(std::move(chunk));
 }
 
+RunVerdict OnlineCall::verdictOn(const ServerChoice &choice, bool broken) const
+{
+    const std::uint64_t request = std::max<std::uint64_t>(1, stableHash(request_.fingerprint));
+    return RunVerdict{.fingerprint = broken ? request : 0,
+                      .server = choice.server,
+                      .broken = broken,
+                      .bornMs = choice.incarnation,
+                      .parts = request_.sharedParts};
+}
+
+void OnlineCall::reportResponseBegan()
+{
+    if (!std::exchange(attempt_->began, true) && !request_.sharedParts.empty()) {
+        context_.hooks.runJudged(verdictOn(*choice_, false));
+    }
+}
+
 void OnlineCall::eventsCame(const std::string &bytes)
 {
     if (stream_.state() != TokenStream::State::Open) {
         return;
     }
     for (std::string &event : stream_.feed(bytes)) {
+        reportResponseBegan();
         answer_.startEvents(headForCaller());
         std::string text = renamed(std::move(event), runId_, callerId_);
         if (claim_ && recordedEvents_.size() <= context_.options.maxRecordedAnswerBytes) {
@@ -227,6 +249,9 @@
 void OnlineCall::answerWhole()
 {
     HttpResponseHead head = headForCaller();
+    if (head.status == okStatus) {
+        reportResponseBegan();
+    }
     const bool tooLong = attempt_->tooLong;
     std::string body = std::move(attempt_->body);
     if (request_.kind == ServiceKind::Engine) {
@@ -354,14 +379,18 @@
 {
     const ServerChoice lost = *choice_;
     const std::uint64_t permit = std::exchange(permit_, 0);
+    const bool judgesParts = !attempt_->began && !request_.sharedParts.empty();
     attempt_.reset();
     choice_.reset();
     ++lossesPending_;
     context_.router.release(lost, RouteEnd::Lost);
     context_.suspects.serverLost(
         lost.server, lost.incarnation, {request_.fingerprint},
-        [self = shared_from_this(), lost, permit, message](LossVerdict verdict) {
+        [self = shared_from_this(), lost, permit, message, judgesParts](LossVerdict verdict) {
             const bool lives = verdict == LossVerdict::ServerAlive;
+            if (!lives && judgesParts) {
+                self->context_.hooks.runJudged(self->verdictOn(lost, true));
+            }
             self->context_.suspects.release(permit, lives ? PermitEnd::NotRun : PermitEnd::Lost);
             if (lives) {
                 self->context_.router.readmit(lost.server);
--- a/persimmonlb/serving/internal/onlinecall.cpp
+++ b/persimmonlb/serving/internal/onlinecall.cpp
@@ -152,6 +152,10 @@
                        "earlier runs of this request crashed backend servers"));
         return;
     }
+    if (const auto blocked = blockedError()) {
+        fail(*blocked);
+        return;
+    }
     const bool suspect = suspicion == Suspicion::Suspect;
     const RouteQuery query{.service = request_.service,
                            .model = request_.model,
@@ -174,6 +178,22 @@
     }
 }
 
+std::optional<Error> OnlineCall::blockedError() const
+{
+    if (request_.sharedParts.empty()) {
+        return std::nullopt;
+    }
+    const Milliseconds blocked = context_.hooks.blockedFor(request_.sharedParts);
+    if (blocked.count() == 0) {
+        return std::nullopt;
+    }
+    Error error = makeError(ResultCode::Quarantined,
+                            "earlier runs of requests with one of these messages crashed backend "
+                            "servers");
+    error.retryAfter = blocked;
+    return error;
+}
+
 void OnlineCall::chosen(const Outcome<ServerChoice> &choice, bool suspect)
 {
     if (!choice.ok()) {
@@ -184,6 +204,12 @@
         context_.router.release(choice.value(), RouteEnd::Abandoned);
         return;
     }
+    // A part may have been blocked while the request waited for a server.
+    if (const auto blocked = blockedError()) {
+        context_.router.release(choice.value(), RouteEnd::Abandoned);
+        fail(*blocked);
+        return;
+    }
     choice_ = choice.value();
     end_.server = choice_->server;
     const bool goesOn = answer_.started();
--- a/persimmonlb/serving/internal/onlinecall.h
+++ b/persimmonlb/serving/internal/onlinecall.h
@@ -59,6 +59,7 @@
         std::optional<HttpResponseHead> head;
         std::string body; ///< Held back until it is whole.
         bool resumes = false; ///< Goes on with a broken stream.
+        bool began = false; ///< The server has begun its response.
         bool streams = false; ///< Answers with events.
         bool tooLong = false; ///< The answer was passed on in chunks.
     };
@@ -71,6 +72,9 @@
     void chosen(const Outcome<ServerChoice> &choice, bool suspect);
     void permitted(const Outcome<Done> &may);
 
+    /// Returns the refusal of a request with a part that crashes servers, or nothing.
+    [[nodiscard]] std::optional<Error> blockedError() const;
+
     // One attempt (onlineattempt.cpp).
     void send();
     [[nodiscard]] HttpRequest requestForAttempt(bool resumes) const;
@@ -80,6 +84,9 @@
     void holdOrPass(std::string chunk);
     void eventsCame(const std::string &bytes);
     void exchangeEnded(const HttpExchangeEnd &end);
+    /// Reports that the server began its response, once for each attempt.
+    void reportResponseBegan();
+    [[nodiscard]] RunVerdict verdictOn(const ServerChoice &choice, bool broken) const;
     [[nodiscard]] bool isRefusal() const;
     [[nodiscard]] HttpResponseHead headForCaller() const;
     void answerWhole();
--- a/persimmonlb/serving/onlineservice.h
+++ b/persimmonlb/serving/onlineservice.h
@@ -7,10 +7,12 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "persimmonlb/base/clock.h"
 #include "persimmonlb/base/error.h"
 #include "persimmonlb/base/ids.h"
+#include "persimmonlb/fleet/fleetview.h"
 #include "persimmonlb/http/client.h"
 #include "persimmonlb/http/message.h"
 #include "persimmonlb/http/server.h"
@@ -75,6 +77,20 @@
     /// force.
     std::function<std::vector<std::string>()> otherHosts;
     std::function<void(const RequestEnd &)> ended;
+    /// Returns how long a request with these shared parts is blocked, because servers crashed on
+    /// one of them; zero if it may run.
+    std::function<Milliseconds(const std::vector<std::uint64_t> &parts)> blockedFor
+        = [](const std::vector<std::uint64_t> & /*parts*/) {
+              return Milliseconds(0);
+          };
+    /// Called when a request with these shared parts is sent to a server.
+    std::function<void(const std::vector<std::uint64_t> &parts)> requestSent
+        = [](const std::vector<std::uint64_t> & /*parts*/) {
+          };
+    /// Called when a server was lost before it began its response to a request with shared parts,
+    /// and when a server begins such a response.
+    std::function<void(const RunVerdict &verdict)> runJudged = [](const RunVerdict & /*verdict*/) {
+    };
 };
 
 /// Serves callers' online and plain requests: checks, claim, choice of server, proxying, retry,
--- a/persimmonlb/serving/testing/servingbench.cpp
+++ b/persimmonlb/serving/testing/servingbench.cpp
@@ -130,6 +130,12 @@
     result.ended = [this](const RequestEnd &end) {
         ends.push_back(end);
     };
+    result.blockedFor = [this](const std::vector<std::uint64_t> &) {
+        return blockedFor;
+    };
+    result.runJudged = [this](const RunVerdict &verdict) {
+        verdicts.push_back(verdict);
+    };
     return result;
 }
 
--- a/persimmonlb/serving/testing/servingbench.h
+++ b/persimmonlb/serving/testing/servingbench.h
@@ -31,6 +31,8 @@
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
     std::optional<Error> admission;
     std::vector<RequestEnd> ends;
+    Milliseconds blockedFor{0}; ///< Of each request with shared parts.
+    std::vector<RunVerdict> verdicts;
     ServerTable table;
     Router router;
     QuotaLimiter quota;
