Own interface: the limit of requests that a server names is kept

Servers of the own interface had no way to say how many requests they take, and routers sent up to their concurrency limits. A server names Persimmonlb-Request-Limit in any answer, to online requests and batch items; each entry host keeps three quarters of an equal part of it by the same token bucket, so that the fleet stays within it without a broker, and an answer without the header, or another start of the server, ends it.

--- a/persimmonlb/daemon/entryparts.cpp
+++ b/persimmonlb/daemon/entryparts.cpp
@@ -232,7 +232,7 @@
         if (batchOwner(said.server) != deps.self.host) {
             continue;
         }
-        if (router.isEjected(said.server)) {
+        if (router.isEjected(said.server) || !router.allowsRequest(said.server)) {
             continue;
         }
         owned.push_back({said.server,
--- a/persimmonlb/daemon/entrywiring.cpp
+++ b/persimmonlb/daemon/entrywiring.cpp
@@ -3,6 +3,7 @@
 
 #include "persimmonlb/base/logline.h"
 #include "persimmonlb/daemon/internal/entryparts.h"
+#include "persimmonlb/serving/callerrequest.h"
 #include "persimmonlb/state/pick.h"
 
 namespace persimmonlb
@@ -68,7 +69,9 @@
         dispatcher.cancelJobs(state.cancelledRecently);
     };
     hooks.hostsChanged = [this](const std::vector<EntryHostInfo> &hosts) {
-        quota.setHostCount(static_cast<std::uint32_t>(std::max<std::size_t>(1, hosts.size())));
+        const auto count = static_cast<std::uint32_t>(std::max<std::size_t>(1, hosts.size()));
+        quota.setHostCount(count);
+        router.setHostCount(count);
         deps.hostsChanged(hosts);
     };
     hooks.workWaits = [this](const std::vector<ServiceName> &waiting) {
@@ -177,6 +180,13 @@
     hooks.inFlightChanged = [this](const ServerId &server, int change) {
         router.changeBatchInFlight(server, change);
     };
+    hooks.headReceived = [this](const ServerId &server, const HttpResponseHead &head) {
+        const auto known = servers.find(server);
+        const auto limit = requestLimitOf(head);
+        if (known && limit) {
+            router.noteLimit(server, known->announcement.incarnation, *limit);
+        }
+    };
     hooks.serverLost
         = [this](const ServerId &server, const std::vector<std::string> &fingerprints) {
               const auto known = servers.find(server);
--- a/persimmonlb/dispatch/dispatcher.cpp
+++ b/persimmonlb/dispatch/dispatcher.cpp
@@ -232,6 +232,7 @@
     HttpExchangeHooks exchange;
     exchange.head = [this, id](const HttpResponseHead &head) {
         RunningItem &run = running_.at(id);
+        hooks_.headReceived(run.server, head);
         run.status = head.status;
         run.refusedBeforeRun = head.headers.find(notRunHeader) == "true";
     };
--- a/persimmonlb/dispatch/dispatcher.h
+++ b/persimmonlb/dispatch/dispatcher.h
@@ -71,6 +71,10 @@
     /// Called when a connection to a server broke after requests with these body fingerprints were
     /// sent on it.
     std::function<void(const ServerId &, const std::vector<std::string> &fingerprints)> serverLost;
+    /// Called with the head of each response to an item.
+    std::function<void(const ServerId &, const HttpResponseHead &head)> headReceived
+        = [](const ServerId & /*server*/, const HttpResponseHead & /*head*/) {
+          };
 };
 
 /// Leases batch items from the control group, sends them to the servers that this host owns, within
--- a/persimmonlb/routing/router.cpp
+++ b/persimmonlb/routing/router.cpp
@@ -12,6 +12,7 @@
 /// Weight of a new hold time in the mean hold time.
 constexpr double holdTimeWeight = 0.1;
 constexpr Milliseconds minRetryAfter{50};
+constexpr double requestsPerKsPerSecond = 1000; ///< 1,000 requests in 1,000 s are one a second.
 constexpr Milliseconds noServerRetryAfter{500};
 
 Milliseconds between(MonotonicTime from, MonotonicTime to)
@@ -73,6 +74,8 @@
         state.incarnation = announcement.incarnation;
         state.ejectedUntil = MonotonicTime{};
         state.consecutiveErrors = 0;
+        state.limiter = RequestLimiter();
+        state.requestsPerKs = 0;
     }
     state.limit->setSlots(announcement.slots);
     return state;
@@ -96,7 +99,8 @@
         result.push_back(ReadyServer{.known = std::move(known),
                                      .limit = state.limit->limit(),
                                      .suspectsInFlight = state.suspectsInFlight,
-                                     .isEjected = state.ejectedUntil > now});
+                                     .isEjected = state.ejectedUntil > now,
+                                     .allowsRequest = state.limiter.allowsRequest(now)});
     }
     const bool allEjected = std::all_of(result.begin(), result.end(),
                                         [](const ReadyServer &server) { return server.isEjected; });
@@ -119,7 +123,8 @@
     }
     std::vector<const ReadyServer *> available;
     for (const ReadyServer &server : ready) {
-        if (server.online() >= server.limit || (query.suspect && server.suspectsInFlight > 0)) {
+        if (server.online() >= server.limit || !server.allowsRequest
+            || (query.suspect && server.suspectsInFlight > 0)) {
             continue;
         }
         available.push_back(&server);
@@ -178,6 +183,7 @@
                             .startedAt = clock_.monotonic()});
     ServerState &state = serverStates_[announcement.server];
     state.suspectsInFlight += query.suspect ? 1 : 0;
+    state.limiter.take(clock_.monotonic());
     table_.changeInFlight(announcement.server, WorkClass::Online, 1);
     recordPeak(announcement.server, state);
     if (server.total() >= server.limit && hooks_.requestYield) {
@@ -371,6 +377,47 @@
 void Router::changeBatchInFlight(const ServerId &server, int change)
 {
     table_.changeInFlight(server, WorkClass::Batch, change);
+    const auto state = serverStates_.find(server);
+    if (change > 0 && state != serverStates_.end()) {
+        state->second.limiter.take(clock_.monotonic());
+    }
+}
+
+void Router::noteLimit(const ServerId &server, std::uint64_t incarnation,
+                       std::uint64_t requestsPerKs)
+{
+    const auto state = serverStates_.find(server);
+    if (state == serverStates_.end() || state->second.incarnation != incarnation
+        || state->second.requestsPerKs == requestsPerKs) {
+        return;
+    }
+    state->second.requestsPerKs = requestsPerKs;
+    updateLimiter(state->second);
+}
+
+void Router::setHostCount(std::uint32_t hosts)
+{
+    hostCount_ = std::max(1U, hosts);
+    for (auto &[server, state] : serverStates_) {
+        updateLimiter(state);
+    }
+}
+
+void Router::updateLimiter(ServerState &state)
+{
+    constexpr double requestsAtOnce = 1;
+    constexpr std::uint64_t steps = 1000;
+    const double part = static_cast<double>(state.requestsPerKs) / requestsPerKsPerSecond
+        / static_cast<double>(hostCount_);
+    // Several hosts learn of a limit at once and must not all send a request then.
+    const double first = static_cast<double>(random_() % steps) / static_cast<double>(steps);
+    state.limiter.setRate(options_.limitShare * part, requestsAtOnce, first, clock_.monotonic());
+}
+
+bool Router::allowsRequest(const ServerId &server) const
+{
+    const auto state = serverStates_.find(server);
+    return state == serverStates_.end() || state->second.limiter.allowsRequest(clock_.monotonic());
 }
 
 std::uint32_t Router::capacity(const ServerId &server) const
--- a/persimmonlb/routing/router.h
+++ b/persimmonlb/routing/router.h
@@ -14,6 +14,7 @@
 #include "persimmonlb/membership/servertable.h"
 #include "persimmonlb/routing/concurrencylimit.h"
 #include "persimmonlb/routing/policy.h"
+#include "persimmonlb/slots/requestlimiter.h"
 
 namespace persimmonlb
 {
@@ -25,6 +26,9 @@
     /// Consecutive error responses that eject a server. A broken connection ejects it immediately.
     std::uint32_t consecutiveErrorsToEject = 3;
     ConcurrencyOptions concurrency;
+    /// Share of an equal part of a server's limit of requests that this host uses: requests of
+    /// hosts that choose for themselves may coincide.
+    double limitShare = 0.75;
 };
 
 /// The requirements of a request for a backend server.
@@ -102,6 +106,13 @@
     void release(const ServerChoice &choice, RouteEnd end);
     /// Ends the ejection of a server that is alive after all.
     void readmit(const ServerId &server);
+    /// Records the limit that a server named in a response, in requests per 1,000 s for all entry
+    /// hosts together, or that it named none (0). This host keeps its part of it.
+    void noteLimit(const ServerId &server, std::uint64_t incarnation, std::uint64_t requestsPerKs);
+    /// Sets the number of entry hosts, at least 1.
+    void setHostCount(std::uint32_t hosts);
+    /// True if the limit of the server allows this host another request now.
+    [[nodiscard]] bool allowsRequest(const ServerId &server) const;
     /// Records the first byte of a response; the time to first byte drives the concurrency limit.
     void recordFirstByte(const ServerChoice &choice);
 
@@ -139,6 +150,8 @@
     struct ServerState {
         std::optional<ConcurrencyLimit> limit;
         std::uint64_t incarnation = 0;
+        RequestLimiter limiter;
+        std::uint64_t requestsPerKs = 0; ///< As the server named it; 0: no limit.
         MonotonicTime ejectedUntil;
         std::uint32_t consecutiveErrors = 0;
         std::uint32_t suspectsInFlight = 0;
@@ -155,6 +168,7 @@
         std::uint32_t limit = 1;
         std::uint32_t suspectsInFlight = 0;
         bool isEjected = false;
+        bool allowsRequest = true; ///< By its limit of requests.
 
         [[nodiscard]] std::uint32_t online() const;
         [[nodiscard]] std::uint32_t total() const;
@@ -167,6 +181,7 @@
                                           const std::vector<const ReadyServer *> &available) const;
     ServerChoice assign(const RouteQuery &query, const ReadyServer &server);
     ServerState &stateOf(const KnownServer &known);
+    void updateLimiter(ServerState &state);
     void recordPeak(const ServerId &server, ServerState &state);
     void recordEnd(const Ticket &ticket, RouteEnd end);
     void serveWaiters(const ServiceName &service);
@@ -186,6 +201,7 @@
     std::map<ServiceName, std::list<Waiter>> waiters_;
     /// Recent mean time from the choice of a server until its release, per service.
     std::map<ServiceName, double> meanHoldTimeMs_;
+    std::uint32_t hostCount_ = 1;
     std::uint64_t nextTicket_ = 1;
     std::uint64_t nextWaiter_ = 1;
 };
--- a/persimmonlb/routing/router_test.cpp
+++ b/persimmonlb/routing/router_test.cpp
@@ -1,7 +1,9 @@
+#include <algorithm>
 #include <map>
 #include <memory>
 #include <ostream>
 #include <string>
+#include <vector>
 
 #include <boost/test/data/monomorphic.hpp>
 #include <boost/test/data/test_case.hpp>
@@ -257,6 +259,65 @@
     BOOST_TEST(retries <= 100);
 }
 
+/// Guards against servers that name a limit of requests and get more, from all hosts together.
+BOOST_AUTO_TEST_CASE(hostsTogetherKeepTheLimitThatAServerNames)
+{
+    constexpr std::uint32_t hosts = 4;
+    constexpr double limit = 5;
+    constexpr Milliseconds runTime{8000};
+    constexpr Milliseconds countedTime{4000};
+    constexpr Milliseconds announceInterval{1000};
+    std::vector<std::unique_ptr<RouterFixture>> fleet;
+    fleet.reserve(hosts);
+    for (std::uint32_t host = 0; host < hosts; ++host) {
+        fleet.push_back(std::make_unique<RouterFixture>());
+        fleet.back()->announceAll(1, 8);
+        fleet.back()->router.setHostCount(hosts);
+        const auto first = fleet.back()->router.choose(fleet.back()->query());
+        BOOST_REQUIRE(first.ok());
+        fleet.back()->router.noteLimit(ServerId{"s0"}, 1, static_cast<std::uint64_t>(limit * 1000));
+        fleet.back()->router.release(first.value(), RouteEnd::Succeeded);
+    }
+    std::vector<Milliseconds> sent;
+    for (Milliseconds at(0); at < runTime; at += Milliseconds(10)) {
+        for (const auto &host : fleet) {
+            host->now += Milliseconds(10);
+            if (at % announceInterval == Milliseconds(0)) {
+                host->table.tick();
+                host->announceAll(1, 8);
+            }
+            const auto choice = host->router.choose(host->query());
+            if (choice.ok()) {
+                sent.push_back(at);
+                host->router.release(choice.value(), RouteEnd::Succeeded);
+            }
+        }
+    }
+    std::size_t most = 0;
+    for (std::size_t first = 0; first < sent.size(); ++first) {
+        const auto last = std::upper_bound(sent.begin(), sent.end(), sent[first] + countedTime);
+        most = std::max(most, static_cast<std::size_t>(last - sent.begin()) - first);
+    }
+    // The users' bound: one and a half times what the limit allows, and five more.
+    BOOST_TEST(static_cast<double>(most) <= 1.5 * 4 * limit + 5);
+    BOOST_TEST(static_cast<double>(sent.size()) >= 0.6 * limit * 8);
+}
+
+BOOST_FIXTURE_TEST_CASE(aLimitEndsWhenTheServerNamesItNoMoreOrRestarts, RouterFixture)
+{
+    announceAll(1, 8);
+    const ServerId server{"s0"};
+    BOOST_REQUIRE(router.choose(query()).ok());
+    router.noteLimit(server, 1, 1);
+    BOOST_TEST(!router.allowsRequest(server));
+    BOOST_TEST(!router.choose(query()).ok());
+    router.noteLimit(server, 2, 0); // A response of another start of the server.
+    BOOST_TEST(!router.allowsRequest(server));
+    router.noteLimit(server, 1, 0);
+    BOOST_TEST(router.allowsRequest(server));
+    BOOST_TEST(router.choose(query()).ok());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace persimmonlb
--- a/persimmonlb/serving/callerrequest.cpp
+++ b/persimmonlb/serving/callerrequest.cpp
@@ -14,6 +14,7 @@
 #include "persimmonlb/http/target.h"
 #include "persimmonlb/routing/suspects.h"
 #include "persimmonlb/sheet/callerkey.h"
+#include "persimmonlb/slots/requestlimiter.h"
 
 namespace persimmonlb
 {
@@ -265,6 +266,12 @@
     return result;
 }
 
+std::optional<std::uint64_t> requestLimitOf(const HttpResponseHead &head)
+{
+    const std::string_view text = head.headers.find("Persimmonlb-Request-Limit");
+    return text.empty() ? std::optional<std::uint64_t>(0) : parseRequestsPerKs(text);
+}
+
 HttpHeaders answerHeaders(const HttpHeaders &fromServer, const std::string &requestId)
 {
     HttpHeaders result = forwarded(fromServer);
--- a/persimmonlb/serving/callerrequest.h
+++ b/persimmonlb/serving/callerrequest.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -42,6 +43,10 @@
 /// Reads ANY /services/NAME/PATH. Errors: as readChatRequest().
 Outcome<CallerRequest> readPlainRequest(const HttpRequest &request, const Sheet &sheet);
 
+/// Returns the limit that a server names in a response, in requests per 1,000 s; 0 if it names
+/// none, nothing if what it names is unreadable.
+std::optional<std::uint64_t> requestLimitOf(const HttpResponseHead &head);
+
 /// The headers of a server's answer that go on to the caller, with the caller's request id.
 HttpHeaders answerHeaders(const HttpHeaders &fromServer, const std::string &requestId);
 
--- a/persimmonlb/serving/internal/onlineattempt.cpp
+++ b/persimmonlb/serving/internal/onlineattempt.cpp
@@ -36,6 +36,13 @@
         && head.headers.find("Content-Type").starts_with(eventStreamType);
 }
 
+void noteLimit(Router &router, const ServerChoice &choice, const HttpResponseHead &head)
+{
+    if (const auto limit = requestLimitOf(head)) {
+        router.noteLimit(choice.server, choice.incarnation, *limit);
+    }
+}
+
 Error backendError(ResultCode code, std::string message)
 {
     return makeError(code, std::move(message));
@@ -128,6 +135,9 @@
         end_.toFirstByte = sinceStart();
     }
     const std::string_view echoed = head.headers.find(requestIdHeader);
+    if (echoed.empty() || echoed == runId_) {
+        noteLimit(context_.router, *choice_, head);
+    }
     attempt_->streams = request_.stream && isEventStream(head);
     attempt_->head = std::move(head);
     if (!echoed.empty() && echoed != runId_) {
--- a/persimmonlb/slots/requestlimiter.cpp
+++ b/persimmonlb/slots/requestlimiter.cpp
@@ -1,10 +1,25 @@
 #include "persimmonlb/slots/requestlimiter.h"
 
 #include <algorithm>
+#include <charconv>
 
 namespace persimmonlb
 {
 
+std::optional<std::uint64_t> parseRequestsPerKs(std::string_view text)
+{
+    constexpr double secondsPerKs = 1000;
+    constexpr double maxPerSecond = 1e9;
+    double perSecond = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), perSecond,
+                                              std::chars_format::fixed);
+    const bool isWhole = error == std::errc() && end == text.data() + text.size();
+    if (!isWhole || !(perSecond >= 0 && perSecond <= maxPerSecond)) {
+        return std::nullopt;
+    }
+    return std::max<std::uint64_t>(1, static_cast<std::uint64_t>(perSecond * secondsPerKs));
+}
+
 void RequestLimiter::setRate(double perSecond, double burst, double initialRequests,
                              MonotonicTime now)
 {
--- a/persimmonlb/slots/requestlimiter.h
+++ b/persimmonlb/slots/requestlimiter.h
@@ -1,10 +1,19 @@
 #pragma once
 
+#include <cstdint>
+#include <optional>
+#include <string_view>
+
 #include "persimmonlb/base/clock.h"
 
 namespace persimmonlb
 {
 
+/// Reads a limit of requests a second, a decimal number without exponent, and returns it in
+/// requests per 1,000 s. Returns at least 1, as 0 means no limit; nothing if the text is not such a
+/// number.
+std::optional<std::uint64_t> parseRequestsPerKs(std::string_view text);
+
 /// Token bucket that limits the requests to a server. Without a rate, it limits nothing. Not
 /// thread-safe.
 class RequestLimiter
