Planned stop: a host takes only requests whose bound ends within its grace

Cause: new requests were refused only once less than 2 s of the grace were left, whatever time they could take; a stream may take as long as its deadline and its route's timeout allow.

Fix: RelayService refuses, from SIGTERM on, each request whose shorter bound ends later than the last moment at which the host can answer; the refusal says "not run" and Retry-After 0. Each answer of a stopping host closes its connection, on both interfaces, so that callers leave before they are refused. A request that is taken has ended, by its own bound, before the process does.

--- a/persimmonlb/daemon/entrywiring.cpp
+++ b/persimmonlb/daemon/entrywiring.cpp
@@ -244,11 +244,17 @@
         LogLine(LogLevel::Info, "drain_began").write();
         lease.setDraining(true);
         dispatcher.setDraining(true);
+        if (server) {
+            server->setCloseAfterAnswers(true);
+        }
     };
     hooks.restore = [this] {
         LogLine(LogLevel::Info, "drain_undone").write();
         lease.setDraining(false);
         dispatcher.setDraining(false);
+        if (server) {
+            server->setCloseAfterAnswers(false);
+        }
     };
     hooks.withdrawalKnown = [this] {
         return lease.withdrawalKnown();
--- a/persimmonlb/fleetnode/fleetnode.h
+++ b/persimmonlb/fleetnode/fleetnode.h
@@ -18,6 +18,9 @@
 namespace persimmonlb
 {
 
+/// Until a command or query to the replicated group ends with an error.
+inline constexpr Milliseconds controlCallTimeout{2500};
+
 /// One process of a fleet that forms, heals and configures itself: takes callers, stores, or both.
 ///
 /// Example:
--- a/persimmonlb/fleetnode/fleetparts.cpp
+++ b/persimmonlb/fleetnode/fleetparts.cpp
@@ -20,7 +20,6 @@
 constexpr Milliseconds serverIdleTimeout{4000};
 /// Operators and callers of bulk jobs go on to another host after a second.
 constexpr Milliseconds commandAttempt{300};
-constexpr Milliseconds commandDeadline{2500};
 constexpr Milliseconds peerCheckInterval{100};
 constexpr const char *statusTarget = "/v1/fleet"; ///< At the metrics address.
 
@@ -37,7 +36,7 @@
     ControlClientOptions options;
     options.controlHosts = seedHosts(settings);
     options.attemptTimeout = commandAttempt;
-    options.deadline = commandDeadline;
+    options.deadline = controlCallTimeout;
     return options;
 }
 
@@ -79,6 +78,7 @@
             .view = [this]() -> const FleetView & { return view; },
             .later
             = [this](std::function<void()> fn) { boost::asio::post(context, std::move(fn)); },
+            .closeAfterAnswers = [this] { callers->setCloseAfterAnswers(true); },
             .closeListener =
                 [this] {
                     callers->stopListening();
--- a/persimmonlb/fleetnode/gatewayrole.cpp
+++ b/persimmonlb/fleetnode/gatewayrole.cpp
@@ -20,9 +20,6 @@
 constexpr Milliseconds exitMargin{300};
 /// Before the process ends: for the answers to requests that have not ended.
 constexpr Milliseconds lastErrors{200};
-/// A request that comes with less of the stop grace left is refused, so that its caller tries
-/// another host while there is time. Longer than most requests last.
-constexpr Milliseconds leastTimeToServe{2000};
 /// For the leader to confirm that this host is no longer named; it may be unreachable.
 constexpr Milliseconds confirmation{700};
 /// From the start of all processes until each host has routes: stores are opened, a leader is
@@ -181,22 +178,21 @@
 {
     slots_.tick();
     verdicts_.tick();
-    if (isDraining()) {
-        endInTime();
+    if (isDraining() && deps_.clock.monotonic() >= lastAnswerAt()) {
+        relay_.endUnanswered();
     }
     relay_.tick();
     drain_.tick();
 }
 
-void GatewayRole::endInTime()
+MonotonicTime GatewayRole::lastAnswerAt() const
 {
-    const Milliseconds left = deps_.settings.stopGrace - exitMargin - sinceDrain();
-    if (left < leastTimeToServe) {
-        relay_.refuseNewRequests();
-    }
-    if (left < lastErrors) {
-        relay_.endUnanswered();
-    }
+    return drainBegan_ + deps_.settings.stopGrace - exitMargin - lastErrors;
+}
+
+bool GatewayRole::hasTimeFor(Milliseconds call) const
+{
+    return !isDraining() || deps_.clock.monotonic() + call <= lastAnswerAt();
 }
 
 void GatewayRole::beginDrain()
@@ -206,6 +202,8 @@
         LogLine(LogLevel::Info, "draining")
             .add("open", static_cast<std::int64_t>(relay_.openRequests()))
             .write();
+        relay_.refuseRequestsThatMayOutlast(lastAnswerAt());
+        deps_.closeAfterAnswers();
         drain_.begin();
     }
 }
--- a/persimmonlb/fleetnode/gatewayrole.h
+++ b/persimmonlb/fleetnode/gatewayrole.h
@@ -33,6 +33,8 @@
     /// The view of this host.
     std::function<const FleetView &()> view;
     std::function<void(std::function<void()>)> later;
+    /// Asks callers to go to other hosts: answers close their connections from now on.
+    std::function<void()> closeAfterAnswers;
     /// Stops listening for callers, and says what is still open.
     std::function<void()> closeListener;
     std::function<bool()> listenerIdle;
@@ -70,6 +72,8 @@
     [[nodiscard]] Milliseconds routesExpectedIn() const;
     void relay(RelayRequest request, std::shared_ptr<HttpResponder> responder);
     [[nodiscard]] std::size_t openRequests() const;
+    /// False if this host is stopping and may have ended before a call that takes so long.
+    [[nodiscard]] bool hasTimeFor(Milliseconds call) const;
 
 private:
     SlotClientHooks slotHooks();
@@ -80,8 +84,8 @@
     [[nodiscard]] bool isEngine(const ServiceName &service) const;
     [[nodiscard]] bool listedByLeader() const;
     [[nodiscard]] Milliseconds sinceDrain() const;
-    /// During a planned stop: refuses requests that come too late and answers what is left.
-    void endInTime();
+    /// End of the time in which a planned stop can still answer requests.
+    [[nodiscard]] MonotonicTime lastAnswerAt() const;
 
     GatewayRoleDeps deps_;
     std::shared_ptr<const RouteTable> routes_;
--- a/persimmonlb/http/internal/serveranswer.cpp
+++ b/persimmonlb/http/internal/serveranswer.cpp
@@ -59,7 +59,7 @@
     if (!answers(answer) || answerStarted_) {
         return;
     }
-    closeAfterAnswer_ = closeAfterAnswer_ || shared_->closing;
+    closeAfterAnswer_ = closeAfterAnswer_ || shared_->closesAfterAnswers;
     queueWholeAnswer(std::move(response), closeAfterAnswer_);
     answerEnded_ = true;
     flush();
@@ -73,7 +73,8 @@
     answerStarted_ = true;
     bodyless_ = headRequest_ || statusHasNoBody(head.status);
     chunked_ = !http10_ && !statusHasNoBody(head.status);
-    closeAfterAnswer_ = closeAfterAnswer_ || shared_->closing || (!chunked_ && !bodyless_);
+    closeAfterAnswer_
+        = closeAfterAnswer_ || shared_->closesAfterAnswers || (!chunked_ && !bodyless_);
     AnswerFraming framed = framing(closeAfterAnswer_);
     framed.chunked = chunked_;
     queue(formatAnswerHead(head.status, head.headers, framed));
--- a/persimmonlb/http/internal/serverconnection.h
+++ b/persimmonlb/http/internal/serverconnection.h
@@ -40,7 +40,8 @@
     boost::asio::any_io_executor executor;
     HttpServerOptions options;
     HttpHandler handler; ///< Empty once the server object is destroyed.
-    bool closing = false; ///< Answers carry "Connection: close".
+    bool closing = false; ///< Connections are closed once they are idle.
+    bool closesAfterAnswers = false; ///< Answers carry "Connection: close".
     std::size_t openRequests = 0;
     std::unordered_set<std::shared_ptr<ServerConnection>> connections;
     std::array<char, scratchBytes> scratch{}; ///< Input of the connection that reads right now.
--- a/persimmonlb/http/server.cpp
+++ b/persimmonlb/http/server.cpp
@@ -178,9 +178,14 @@
         shared_->options.headerTimeout = limits.headerTimeout;
         shared_->options.idleTimeout = limits.idleTimeout;
     }
+    void setCloseAfterAnswers(bool close) override
+    {
+        shared_->closesAfterAnswers = close || shared_->closing;
+    }
     void closeIdleConnections() override
     {
         shared_->closing = true;
+        shared_->closesAfterAnswers = true;
         for (const auto &connection : snapshot()) {
             connection->closeIfIdle();
         }
--- a/persimmonlb/http/server.h
+++ b/persimmonlb/http/server.h
@@ -82,6 +82,9 @@
 
     [[nodiscard]] virtual std::uint16_t port() const = 0;
     virtual void setLimits(const HttpServerLimits &limits) = 0;
+    /// From now on each answer carries "Connection: close", or no longer; idle connections stay
+    /// open. An answer that has begun is not changed. Without effect after closeIdleConnections().
+    virtual void setCloseAfterAnswers(bool close) = 0;
     /// From now on each answer carries "Connection: close"; idle connections are closed. One on
     /// which a byte of a request has arrived is not idle: the request is answered first. An idle
     /// one gets the farewell answer, so that a request that crosses it on the wire is told that
--- a/persimmonlb/http/server_test.cpp
+++ b/persimmonlb/http/server_test.cpp
@@ -504,6 +504,39 @@
     BOOST_TEST(runUntil(fixture.context, [&] { return fixture.server->openConnections() == 0; }));
 }
 
+/// Guards against callers that go on sending to a host that stops, since nothing told them to
+/// leave: their later requests are refused although they could be served elsewhere.
+BOOST_AUTO_TEST_CASE(answersCloseTheirConnectionsOnRequestAndIdleOnesStayOpen)
+{
+    Fixture fixture;
+    RawPeer stream = fixture.connect();
+    RawPeer idle = fixture.connect();
+    stream.send(plainRequest);
+    HttpResponder &begun = *fixture.request(0).responder;
+    begun.start({.status = 200, .headers = {}});
+    fixture.server->setCloseAfterAnswers(true);
+    begun.finish();
+    BOOST_TEST(stream.receives("0\r\n\r\n"));
+    BOOST_TEST(stream.count("Connection: close") == 0U);
+    // Both connections still take a request each.
+    stream.send(plainRequest);
+    fixture.request(1).responder->respond(textAnswer("second answer"));
+    idle.send(plainRequest);
+    fixture.request(2).responder->respond(textAnswer("third answer"));
+    BOOST_TEST(stream.receives("second answer"));
+    BOOST_TEST(idle.receives("third answer"));
+    for (RawPeer *peer : {&stream, &idle}) {
+        BOOST_TEST(peer->count("Connection: close") == 1U);
+        BOOST_TEST(peer->seesClose());
+    }
+    fixture.server->setCloseAfterAnswers(false);
+    RawPeer later = fixture.connect();
+    later.send(plainRequest);
+    fixture.request(3).responder->respond(textAnswer("fourth answer"));
+    BOOST_TEST(later.receives("fourth answer"));
+    BOOST_TEST(later.count("Connection: close") == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(streamThatRunsWhileClosingEndsWhole)
 {
     Fixture fixture;
--- a/persimmonlb/http/testing/fakesending.h
+++ b/persimmonlb/http/testing/fakesending.h
@@ -41,6 +41,7 @@
 struct FakeSending {
     std::string address;
     HttpRequest request;
+    Milliseconds deadline{0};
     HttpExchangeHooks hooks;
     bool closed = false; ///< The sender let go of it.
 };
@@ -48,11 +49,12 @@
 /// Remembers each sending in `sendings`, which must outlive the function.
 inline HttpSend recordInto(std::vector<std::shared_ptr<FakeSending>> &sendings)
 {
-    return [&sendings](const std::string &address, HttpRequest request, Milliseconds,
+    return [&sendings](const std::string &address, HttpRequest request, Milliseconds deadline,
                        HttpExchangeHooks hooks) {
         auto sending = std::make_shared<FakeSending>();
         sending->address = address;
         sending->request = std::move(request);
+        sending->deadline = deadline;
         sending->hooks = std::move(hooks);
         sendings.push_back(sending);
         return std::make_unique<FakeExchange>([sending] { sending->closed = true; });
--- a/persimmonlb/relay/internal/relaycall.cpp
+++ b/persimmonlb/relay/internal/relaycall.cpp
@@ -18,15 +18,6 @@
     return std::chrono::duration_cast<Milliseconds>(to - from);
 }
 
-/// Returns the shorter of two timeouts; a zero or negative value means no timeout.
-Milliseconds shorterTimeout(Milliseconds left, Milliseconds right)
-{
-    if (left.count() <= 0 || right.count() <= 0) {
-        return std::max(left, right);
-    }
-    return std::min(left, right);
-}
-
 /// Returns the fingerprints as hexadecimal numbers, separated by commas.
 std::string formatFingerprints(const std::vector<std::uint64_t> &fingerprints)
 {
@@ -53,7 +44,7 @@
     , responder_(std::move(responder))
     , serviceName_(chooseService(request_.route, service_.random_()))
     , startedAt_(service_.clock_.monotonic())
-    , deadline_(startedAt_ + shorterTimeout(request_.callerTimeout, request_.route.timeout))
+    , deadline_(startedAt_ + requestTimeout(request_))
     , lastProgressAt_(startedAt_)
 {
     if (request_.lastEventId) {
--- a/persimmonlb/relay/relayrequest.h
+++ b/persimmonlb/relay/relayrequest.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <functional>
 #include <optional>
@@ -32,6 +33,16 @@
     bool operator==(const RelayRequest &) const = default;
 };
 
+/// Returns how long a request may take: the shorter of the caller's and the route's timeout; zero
+/// or less if neither is limited.
+[[nodiscard]] inline Milliseconds requestTimeout(const RelayRequest &request)
+{
+    const Milliseconds caller = request.callerTimeout;
+    const Milliseconds route = request.route.timeout;
+    return caller.count() <= 0 || route.count() <= 0 ? std::max(caller, route)
+                                                     : std::min(caller, route);
+}
+
 /// One attempt to run a request on a server.
 struct RelayAttempt {
     ServerId server;
--- a/persimmonlb/relay/relayservice.cpp
+++ b/persimmonlb/relay/relayservice.cpp
@@ -3,6 +3,7 @@
 #include <utility>
 #include <vector>
 
+#include "persimmonlb/base/logline.h"
 #include "persimmonlb/relay/internal/relaycall.h"
 
 namespace persimmonlb
@@ -30,12 +31,8 @@
 
 void RelayService::relay(RelayRequest request, std::shared_ptr<HttpResponder> responder)
 {
-    if (refusesNewRequests_) {
-        Error error = makeError(ResultCode::Draining, "this host is stopping");
-        error.retryAfter = Milliseconds(0);
-        error.run = RunState::NotRun;
-        metrics_.count("persimmonlb_relay_requests_total", {{"outcome", "refused"}});
-        responder->respond(hooks_.codec.encodeError(request.id, error));
+    if (!mayAccept(request)) {
+        refuseAsStopping(request, *responder);
         return;
     }
     const std::uint64_t number = nextCall_++;
@@ -45,9 +42,38 @@
     call->start();
 }
 
-void RelayService::refuseNewRequests()
+void RelayService::refuseRequestsThatMayOutlast(MonotonicTime end)
 {
-    refusesNewRequests_ = true;
+    hostStopsAt_ = end;
+}
+
+bool RelayService::mayAccept(const RelayRequest &request) const
+{
+    if (!hostStopsAt_) {
+        return true;
+    }
+    const Milliseconds timeout = requestTimeout(request);
+    return timeout.count() > 0 && clock_.monotonic() + timeout <= *hostStopsAt_;
+}
+
+void RelayService::refuseAsStopping(const RelayRequest &request, HttpResponder &responder)
+{
+    Error error = makeError(ResultCode::Draining, "this host is stopping");
+    // Another host may take the request at once.
+    error.retryAfter = Milliseconds(0);
+    error.run = RunState::NotRun;
+    metrics_.count("persimmonlb_relay_requests_total", {{"outcome", "refused_stopping"}});
+    if (mayLogSuccess()) {
+        LogLine(LogLevel::Info, "request_refused_stopping")
+            .add("request", request.id)
+            .add("route", request.route.name)
+            .add("timeout_ms", requestTimeout(request).count())
+            .add("left_ms",
+                 std::chrono::duration_cast<Milliseconds>(*hostStopsAt_ - clock_.monotonic())
+                     .count())
+            .write();
+    }
+    responder.respond(hooks_.codec.encodeError(request.id, error));
 }
 
 void RelayService::endUnanswered()
--- a/persimmonlb/relay/relayservice.h
+++ b/persimmonlb/relay/relayservice.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -95,8 +96,9 @@
 
     /// Forwards the request and answers it through `responder`, unless the caller disconnects.
     void relay(RelayRequest request, std::shared_ptr<HttpResponder> responder);
-    /// Refuses all requests from now on: the host stops before they could be answered.
-    void refuseNewRequests();
+    /// Refuses, from now on, each new request that may still run at `end`, by which the host has
+    /// stopped: the refusal says that it was not run. Open requests go on.
+    void refuseRequestsThatMayOutlast(MonotonicTime end);
     /// Answers every request whose response has not begun with an error.
     void endUnanswered();
     /// Refuses requests that wait for a slot past their deadline and retries those whose server is
@@ -110,6 +112,9 @@
 
     [[nodiscard]] std::vector<std::shared_ptr<Call>> openCalls() const;
     void remove(std::uint64_t number);
+    /// Returns false if the host is stopping and the time that the request may take ends later.
+    [[nodiscard]] bool mayAccept(const RelayRequest &request) const;
+    void refuseAsStopping(const RelayRequest &request, HttpResponder &responder);
     /// Counts a log line against maxSuccessLinesPerSecond; returns false if the limit is reached.
     bool mayLogSuccess();
 
@@ -119,7 +124,7 @@
     SlotClient &slots_;
     Metrics &metrics_;
     RelayHooks hooks_;
-    bool refusesNewRequests_ = false;
+    std::optional<MonotonicTime> hostStopsAt_;
     std::uint64_t nextCall_ = 1;
     std::map<std::uint64_t, std::shared_ptr<Call>> calls_;
     MonotonicTime logWindowStart_;
--- a/persimmonlb/relay/relayservice_test.cpp
+++ b/persimmonlb/relay/relayservice_test.cpp
@@ -82,7 +82,7 @@
         Route result;
         result.name = "r";
         result.kind = kind;
-        result.timeout = Milliseconds(5000);
+        result.timeout = routeTimeout;
         result.objective = Milliseconds(300);
         result.maxAttempts = 2;
         result.resumable = resumable;
@@ -96,7 +96,7 @@
         request.id = "q";
         request.sharedParts = sharedParts;
         request.route = route(kind, resumable);
-        request.callerTimeout = Milliseconds(5000);
+        request.callerTimeout = callerTimeout;
         request.request.method = "POST";
         relayService.relay(request, caller);
     }
@@ -155,6 +155,8 @@
     LaterQueue later;
     std::vector<std::shared_ptr<FakeSending>> sendings;
     std::vector<std::optional<std::uint64_t>> lastEventIds;
+    Milliseconds routeTimeout{5000};
+    Milliseconds callerTimeout{5000};
     Milliseconds blockedFor{0};
     std::optional<std::uint64_t> limitPerKs = 0;
     std::vector<std::uint64_t> sharedParts;
@@ -529,13 +531,51 @@
     BOOST_TEST(fixture.caller->status == 502);
 }
 
-/// Guards against requests that are taken late in a planned stop and cut at its end.
-BOOST_AUTO_TEST_CASE(refusesRequestsThatComeTooLateInAPlannedStop)
+/// Guards against requests that are taken late in a planned stop and cut at its end: the host once
+/// compared what was left of the grace with a fixed time, whatever time the request could take.
+BOOST_AUTO_TEST_CASE(refusesRequestsThatMayOutlastAPlannedStop)
+{
+    struct Row {
+        Milliseconds caller;
+        Milliseconds route;
+        Milliseconds left;
+        bool accepted;
+    };
+    // The caller and the route allow 0 for any time.
+    const std::vector<Row> rows = {
+        {Milliseconds(5000), Milliseconds(5000), Milliseconds(5000), true},
+        {Milliseconds(5000), Milliseconds(5000), Milliseconds(4999), false},
+        {Milliseconds(1000), Milliseconds(5000), Milliseconds(1000), true},
+        {Milliseconds(5000), Milliseconds(1000), Milliseconds(1000), true},
+        {Milliseconds(5000), Milliseconds(1000), Milliseconds(999), false},
+        {Milliseconds(0), Milliseconds(1000), Milliseconds(1000), true},
+        {Milliseconds(0), Milliseconds(1000), Milliseconds(999), false},
+        {Milliseconds(1000), Milliseconds(0), Milliseconds(1000), true},
+        {Milliseconds(0), Milliseconds(0), Milliseconds(60000), false},
+        {Milliseconds(30), Milliseconds(5000), Milliseconds(30), true},
+        {Milliseconds(30), Milliseconds(5000), Milliseconds(-1), false},
+    };
+    for (const RouteKind kind : {RouteKind::Safe, RouteKind::OnceOnly, RouteKind::Streaming}) {
+        for (const Row &row : rows) {
+            Fixture fixture;
+            fixture.relayService.refuseRequestsThatMayOutlast(fixture.now + row.left);
+            fixture.callerTimeout = row.caller;
+            fixture.routeTimeout = row.route;
+            fixture.relay(kind);
+            BOOST_TEST(fixture.sendings.size() == (row.accepted ? 1U : 0U));
+            BOOST_TEST(fixture.caller->status == (row.accepted ? 0 : 503));
+            BOOST_TEST(fixture.relayService.openRequests() == fixture.sendings.size());
+        }
+    }
+}
+
+/// Guards against requests that are refused or ended although they came before the stop.
+BOOST_AUTO_TEST_CASE(servesOpenRequestsDuringAPlannedStop)
 {
     Fixture fixture;
     fixture.relay(RouteKind::OnceOnly);
-    fixture.relayService.refuseNewRequests();
     const auto early = fixture.caller;
+    fixture.relayService.refuseRequestsThatMayOutlast(fixture.now);
     fixture.caller = std::make_shared<FakeResponder>();
     fixture.relay(RouteKind::OnceOnly);
     BOOST_TEST(fixture.sendings.size() == 1U);
@@ -545,6 +585,18 @@
     BOOST_TEST(early->status == 200);
 }
 
+/// Guards against a request that another server takes over during a stop and that then outlasts it.
+BOOST_AUTO_TEST_CASE(retriesDuringAPlannedStopWithinTheFirstTimeout)
+{
+    Fixture fixture;
+    fixture.relayService.refuseRequestsThatMayOutlast(fixture.now + Milliseconds(5000));
+    fixture.relay(RouteKind::Streaming, true);
+    fixture.now += Milliseconds(3000);
+    fixture.end(ResultCode::BackendFailed);
+    BOOST_REQUIRE_EQUAL(fixture.sendings.size(), 2U);
+    BOOST_TEST(fixture.lastSending().deadline == Milliseconds(2000));
+}
+
 /// Guards against callers whose connection ends without an answer when the process ends.
 BOOST_AUTO_TEST_CASE(answersAllRequestsBeforeTheProcessEnds)
 {
