Fleet: an acknowledged end of a server holds for every later leader

Cause: the ends against which late announcements are checked lived in the leader's memory. The next leader, or all stores after a restart, took a late heartbeat for a server that joins. The same gap let a draining server come back as ready after it had been dropped as silent, and lost the DELETE of a server that the leader did not list.

Fix: the log keeps ended starts beside the servers; a new leader takes them over whatever view it adopts; an end or draining is acknowledged only once the log has committed it (FleetSaver). So no leader can have an acknowledged end behind it and not know it.

--- a/persimmonlb/fleet/fleetregistry.cpp
+++ b/persimmonlb/fleet/fleetregistry.cpp
@@ -1,5 +1,6 @@
 #include "persimmonlb/fleet/fleetregistry.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "persimmonlb/base/logline.h"
@@ -34,6 +35,7 @@
 FleetRegistry::FleetRegistry(FleetRegistryOptions options, Clock clock)
     : options_(options)
     , clock_(std::move(clock))
+    , ended_(options.ended, clock_)
 {
 }
 
@@ -45,9 +47,17 @@
         || known->second.info.draining) {
         return isNew;
     }
-    known->second.info.draining = true;
+    return markDraining(known->second.info);
+}
+
+bool FleetRegistry::markDraining(FleetServer &server)
+{
+    if (server.draining) {
+        return false;
+    }
+    server.draining = true;
     ++version_;
-    logServer("server_says_it_leaves", known->second.info);
+    logServer("server_leaves", server);
     return true;
 }
 
@@ -70,22 +80,33 @@
 
 bool FleetRegistry::announce(const FleetServer &announced)
 {
+    if (ended_.refuses(announced)) {
+        return false;
+    }
     FleetServer server = announced;
     server.draining = server.draining || leaving_.contains(server.id, server.bornMs);
-    const auto ended = ended_.find(server.id);
-    if (ended != ended_.end() && server.bornMs <= ended->second.bornMs) {
-        return false;
+    if (server.draining) {
+        // Holds although the server may fall silent and be dropped before a late announcement.
+        leaving_.note(server.id, server.bornMs);
     }
     const auto known = servers_.find(server.id);
     if (known != servers_.end()) {
         FleetServer &info = known->second.info;
         const auto order = std::pair(server.bornMs, server.sequence);
-        if (order <= std::pair(info.bornMs, info.sequence)) {
+        if (server.bornMs < info.bornMs) {
+            // Holds although the later start may fall silent and be dropped.
+            ended_.record(server.id, server.bornMs);
             return false;
         }
+        if (order <= std::pair(info.bornMs, info.sequence)) {
+            return server.draining && markDraining(info);
+        }
         if (!takeAddress(server)) {
             return false;
         }
+        if (info.bornMs < server.bornMs) {
+            ended_.record(server.id, info.bornMs);
+        }
         // A server names its limit in responses only.
         server.requestsPerKs = server.bornMs == info.bornMs ? info.requestsPerKs : 0;
         known->second.heardAt = clock_.monotonic();
@@ -123,7 +144,7 @@
 
 void FleetRegistry::endLife(const FleetServer &server)
 {
-    ended_[server.id] = Ended{server.bornMs, clock_.monotonic()};
+    ended_.record(server.id, server.bornMs);
     servers_.erase(server.id);
     ++version_;
     logServer("server_ended", server);
@@ -135,7 +156,21 @@
     if (known != servers_.end()) {
         const FleetServer info = known->second.info;
         endLife(info);
+        ended_.recordCall(id, info.bornMs);
+        return;
     }
+    if (ended_.isEndedByCall(id)) {
+        return;
+    }
+    // Unknown here, for example since the former leader alone had heard of it: a start before now
+    // has ended.
+    const auto wall = std::chrono::duration_cast<Milliseconds>(clock_.wall().time_since_epoch());
+    ended_.recordCall(id, static_cast<std::uint64_t>(std::max<std::int64_t>(0, wall.count())));
+    ++version_;
+    LogLine(LogLevel::Info, "unknown_server_ended")
+        .add("server", id.value)
+        .add("born_before", wall.count())
+        .write();
 }
 
 void FleetRegistry::report(const HostId &from, const HostReport &report)
@@ -246,13 +281,35 @@
     ++version_;
 }
 
+void FleetRegistry::adoptEnds(const FleetView &saved)
+{
+    for (const ServerProcess &ended : saved.endedServers) {
+        ended_.record(ended.server, ended.bornMs);
+    }
+    for (const FleetServer &server : saved.servers) {
+        if (server.draining) {
+            leaving_.note(server.id, server.bornMs);
+        }
+        const auto known = servers_.find(server.id);
+        if (known != servers_.end() && known->second.info.bornMs < server.bornMs) {
+            known->second = Server{server, clock_.monotonic()};
+        }
+    }
+    std::erase_if(servers_, [this](const auto &entry) {
+        return ended_.contains(entry.first, entry.second.info.bornMs);
+    });
+    for (auto &[id, server] : servers_) {
+        server.info.draining = server.info.draining || leaving_.contains(id, server.info.bornMs);
+    }
+    ++version_;
+}
+
 void FleetRegistry::tick()
 {
     const MonotonicTime now = clock_.monotonic();
     dropSilentServers();
     unlistSilentStores();
-    std::erase_if(ended_,
-                  [&](const auto &entry) { return now - entry.second.at > options_.endedMemory; });
+    ended_.tick();
     version_ += std::erase_if(entries_, [&](const auto &entry) {
         return entry.second.parents.empty()
             && now - entry.second.orphanSince > options_.orphanSilence;
@@ -298,6 +355,11 @@
     return result;
 }
 
+std::vector<ServerProcess> FleetRegistry::endedServers() const
+{
+    return ended_.all();
+}
+
 std::vector<FleetEntry> FleetRegistry::entries() const
 {
     std::vector<FleetEntry> result;
--- a/persimmonlb/fleet/fleetregistry.h
+++ b/persimmonlb/fleet/fleetregistry.h
@@ -8,6 +8,7 @@
 
 #include "persimmonlb/base/clock.h"
 #include "persimmonlb/base/ids.h"
+#include "persimmonlb/fleet/endedservers.h"
 #include "persimmonlb/fleet/fleetview.h"
 #include "persimmonlb/fleet/leavingservers.h"
 
@@ -23,8 +24,7 @@
     Milliseconds orphanSilence{1500};
     /// A storage host that was not heard for so long is no longer named to other hosts.
     Milliseconds storeSilence{3000};
-    /// How long the end of a life is remembered against late announcements of it.
-    Milliseconds endedMemory{120000};
+    EndedServersOptions ended;
 };
 
 /// A storage host as it reports itself.
@@ -67,14 +67,19 @@
     void hostLost(const HostId &host);
     /// Starts from what another leader knew; what it names must be heard again in time.
     void adopt(const FleetView &view);
+    /// Takes over from the view that the log keeps which starts of servers have ended or leave,
+    /// whatever the adopted view says: that one may be older.
+    void adoptEnds(const FleetView &saved);
     /// Drops what was not heard for too long. Call each 100 ms or so.
     void tick();
 
     [[nodiscard]] std::vector<FleetServer> servers() const;
+    /// Starts of servers that have ended, to be kept for the next leader.
+    [[nodiscard]] std::vector<ServerProcess> endedServers() const;
     [[nodiscard]] std::vector<FleetEntry> entries() const;
     [[nodiscard]] std::vector<FleetStore> stores() const;
     [[nodiscard]] const std::map<HostId, ReportedStore> &reportedStores() const;
-    /// Rises with each change of servers(), entries() or stores().
+    /// Rises with each change of servers(), entries() or stores(), and with each end of a server.
     [[nodiscard]] std::uint64_t version() const;
 
 private:
@@ -87,22 +92,19 @@
         std::set<HostId> parents; ///< Storage hosts that name it; more than one while it moves.
         MonotonicTime orphanSince; ///< When the last parent was lost.
     };
-    struct Ended {
-        std::uint64_t bornMs = 0;
-        MonotonicTime at;
-    };
-
     void dropSilentServers();
     void unlistSilentStores();
     void detach(const HostId &entry, const HostId &parent);
     void endLife(const FleetServer &server);
+    /// False if the server was known to leave.
+    bool markDraining(FleetServer &server);
     /// False when another life has the address and is the later one.
     bool takeAddress(const FleetServer &server);
 
     FleetRegistryOptions options_;
     Clock clock_;
     std::map<ServerId, Server> servers_;
-    std::map<ServerId, Ended> ended_;
+    EndedServers ended_;
     LeavingServers leaving_;
     std::map<HostId, Entry> entries_;
     std::map<HostId, ReportedStore> stores_;
--- a/persimmonlb/fleet/fleetview.h
+++ b/persimmonlb/fleet/fleetview.h
@@ -84,6 +84,7 @@
     std::vector<FleetEntry> entries = {};
     std::vector<FleetStore> stores = {};
     std::vector<CrashSuspect> blockedSuspects = {}; ///< Only in the view that the log keeps.
+    std::vector<ServerProcess> endedServers = {}; ///< Only in the view that the log keeps.
 
     bool operator==(const FleetView &) const = default;
 };
--- a/persimmonlb/fleetnode/fleetnode_test.cpp
+++ b/persimmonlb/fleetnode/fleetnode_test.cpp
@@ -18,6 +18,43 @@
     return PutRoutes{version, std::to_string(version), WallTime()};
 }
 
+FleetServer engine(const std::string &id, std::uint64_t sequence, bool draining = false)
+{
+    return FleetServer{.id = {id},
+                       .bornMs = 100,
+                       .sequence = sequence,
+                       .service = {"lm"},
+                       .address = "10.0.0.1:" + std::to_string(id.size()),
+                       .availabilityZone = {"a"},
+                       .slots = 8,
+                       .draining = draining};
+}
+
+/// A server calls the leader until it is answered.
+bool tellLeader(LoopbackFleet &fleet, const ServerNotice &notice)
+{
+    if (!fleet.runUntil([&fleet] { return fleet.leader() != 0; })) {
+        return false;
+    }
+    const auto acknowledged = std::make_shared<bool>(false);
+    fleet.node(fleet.leader()).storage()->announce(notice, [acknowledged](bool taken) {
+        *acknowledged = taken;
+    });
+    return fleet.runUntil([acknowledged] { return *acknowledged; });
+}
+
+/// Servers that may get requests, as the leader sees them.
+std::set<std::string> usableServers(LoopbackFleet &fleet)
+{
+    std::set<std::string> usable;
+    for (const FleetServer &server : fleet.node(fleet.leader()).status().view.servers) {
+        if (!server.draining) {
+            usable.insert(server.id.value);
+        }
+    }
+    return usable;
+}
+
 void formGroup(LoopbackFleet &fleet)
 {
     BOOST_REQUIRE(fleet.formGroup());
@@ -97,6 +134,51 @@
     BOOST_TEST(fleet.node(9).gateway()->routes()->version() == 7U);
 }
 
+/// Guards against late announcements that bring back servers whose end or draining was acknowledged
+/// by an earlier leader, or before a restart of all storage hosts.
+BOOST_AUTO_TEST_CASE(AcknowledgedEndsOfServersHoldUnderLaterLeaders)
+{
+    LoopbackFleet fleet;
+    formGroup(fleet);
+    const auto announce = [&fleet](std::uint64_t sequence) {
+        for (const char *id : {"stays", "ends", "leaves-now"}) {
+            BOOST_REQUIRE(tellLeader(fleet, ServerNotice{.server = engine(id, sequence)}));
+        }
+    };
+    announce(1);
+    BOOST_REQUIRE(tellLeader(fleet, ServerNotice{.server = engine("ends", 0), .gone = true}));
+    BOOST_REQUIRE(tellLeader(fleet, ServerNotice{.server = engine("leaves-now", 9, true)}));
+    const std::set<std::string> usable{"stays"};
+    const auto isPublished = [&] {
+        return fleet.leader() != 0 && usableServers(fleet) == usable;
+    };
+    BOOST_TEST(fleet.runUntil(isPublished));
+
+    const int first = fleet.leader();
+    fleet.kill(first);
+    announce(2);
+    fleet.runFor(Milliseconds(400), [] {});
+    BOOST_TEST((usableServers(fleet) == usable));
+
+    fleet.startStore(first, false);
+    BOOST_REQUIRE(fleet.runUntil([&fleet] { return fleet.leader() != 0; }));
+    for (const int number : {2, 3, 4}) {
+        fleet.kill(number);
+    }
+    for (const int number : {2, 3, 4}) {
+        fleet.startStore(number, false);
+    }
+    announce(3);
+    fleet.runFor(Milliseconds(400), [] {});
+    BOOST_TEST((usableServers(fleet) == usable));
+    // A later start is another life.
+    FleetServer later = engine("ends", 1);
+    later.bornMs = 101;
+    BOOST_REQUIRE(tellLeader(fleet, ServerNotice{.server = later}));
+    fleet.runFor(Milliseconds(400), [] {});
+    BOOST_TEST(usableServers(fleet).contains("ends"));
+}
+
 BOOST_AUTO_TEST_CASE(MembersFindEachOtherWithoutSeeds)
 {
     // After replacements none of the seeds that the settings name needs to be a member.
--- a/persimmonlb/fleetnode/storageleading.cpp
+++ b/persimmonlb/fleetnode/storageleading.cpp
@@ -46,18 +46,21 @@
 
 // ---- servers ------------------------------------------------------------------------------------
 
-bool StorageRole::applyNotice(const ServerNotice &notice)
+void StorageRole::applyNotice(const ServerNotice &notice, std::function<void(bool taken)> done)
 {
     if (notice.gone) {
         registry_.serverGone(notice.server.id);
     } else {
         registry_.announce(notice.server);
     }
-    if (notice.gone || notice.server.draining) {
-        // The acknowledgement says that every host is on its way to know.
-        publishView();
+    if (!notice.gone && !notice.server.draining) {
+        done(true);
+        return;
     }
-    return true;
+    // The acknowledgement says that every host is on its way to know, and that a later leader,
+    // which may hear late announcements, knows it too.
+    publishView();
+    saver_.save(std::move(done));
 }
 
 void StorageRole::serverLeaves(const ServerLeaving &leaving)
@@ -83,7 +86,7 @@
 void StorageRole::announce(const ServerNotice &notice, std::function<void(bool)> done)
 {
     if (leads_) {
-        done(applyNotice(notice));
+        applyNotice(notice, std::move(done));
         return;
     }
     const HostId leader = this->leader();
@@ -99,8 +102,14 @@
 
 void StorageRole::takeNotice(const HostId &from, const ServerNotice &notice)
 {
-    const bool taken = leads_ && applyNotice(notice);
-    deps_.send(from, ServerNoticeReply{notice.requestId, taken});
+    const auto reply = [this, from, id = notice.requestId](bool taken) {
+        deps_.send(from, ServerNoticeReply{id, taken});
+    };
+    if (!leads_) {
+        reply(false);
+        return;
+    }
+    applyNotice(notice, reply);
 }
 
 std::shared_ptr<const RouteTable> StorageRole::routes()
@@ -151,6 +160,7 @@
     }
     leads_ = leads;
     broker_.reset();
+    saver_.reset();
     if (!leads) {
         runner_.stop();
         inspector_.end();
@@ -175,12 +185,10 @@
 void StorageRole::adoptFleet()
 {
     const FleetView &last = deps_.lastView();
-    if (last.term > 0) {
-        registry_.adopt(last);
-        return;
-    }
-    // Started lately: servers announce themselves only each second or so.
-    registry_.adopt(savedView());
+    const FleetView saved = savedView();
+    // Without a view this host started lately: servers announce themselves only each second or so.
+    registry_.adopt(last.term > 0 ? last : saved);
+    registry_.adoptEnds(saved);
 }
 
 void StorageRole::adoptSuspects()
@@ -200,37 +208,35 @@
     return view != nullptr ? std::move(*view) : FleetView();
 }
 
-void StorageRole::saveFleet()
+FleetSaverHooks StorageRole::saverHooks()
+{
+    return FleetSaverHooks{
+        .version = [this] { return SavedVersion(registry_.version(), crashes_.version()); },
+        .encode = [this] { return encodeSavedView(); },
+        .propose =
+            [this](std::string text, std::function<void(bool)> done) {
+                control_->propose(
+                    SaveFleet{std::move(text), deps_.clock.wall()},
+                    [done = std::move(done)](const Outcome<Reply> &reply) { done(reply.ok()); });
+            }};
+}
+
+std::string StorageRole::encodeSavedView() const
 {
-    if (registry_.version() == savedRegistry_ && crashes_.version() == savedCrashes_) {
-        return;
-    }
-    savedRegistry_ = registry_.version();
-    savedCrashes_ = crashes_.version();
     FleetView view;
     view.servers = registry_.servers();
     for (FleetServer &server : view.servers) {
         server.sequence = 0;
         server.requestsPerKs = 0;
     }
+    view.endedServers = registry_.endedServers();
     view.blockedSuspects = crashes_.blockedSuspects();
     for (CrashSuspect &suspect : view.blockedSuspects) {
         // Ages change all the time; a new leader counts from its own start.
         suspect.blockedForMs = suspect.blockedForMs > 0 ? savedBlockMs : 0;
         suspect.abortAgesMs.clear();
     }
-    std::string encoded = encodeMessage(PeerMessage{defaultGroup, std::move(view), {}, {}});
-    if (encoded == savedFleet_) {
-        return;
-    }
-    savedFleet_ = encoded;
-    control_->propose(SaveFleet{std::move(encoded), deps_.clock.wall()},
-                      [this](const Outcome<Reply> &reply) {
-                          if (!reply.ok()) {
-                              savedFleet_.clear();
-                              savedRegistry_ = 0;
-                          }
-                      });
+    return encodeMessage(PeerMessage{defaultGroup, std::move(view), {}, {}});
 }
 
 FleetView StorageRole::makeView() const
@@ -369,7 +375,7 @@
     if (now >= nextCare_) {
         nextCare_ = now + careInterval;
         registry_.tick();
-        saveFleet();
+        saver_.saveChanges();
         pushCrashes();
         careForGroup();
     }
--- a/persimmonlb/fleetnode/storagerole.cpp
+++ b/persimmonlb/fleetnode/storagerole.cpp
@@ -36,6 +36,7 @@
     , crashes_(CrashLedgerOptions{}, deps_.clock)
     , runner_(BulkRunnerOptions{}, deps_.clock, broker_, crashes_, deps_.metrics, runnerHooks())
     , inspector_(EngineInspectorOptions{}, deps_.clock, deps_.metrics, inspectorHooks())
+    , saver_(saverHooks())
 {
 }
 
--- a/persimmonlb/fleetnode/storagerole.h
+++ b/persimmonlb/fleetnode/storagerole.h
@@ -19,6 +19,7 @@
 #include "persimmonlb/fleet/fleetregistry.h"
 #include "persimmonlb/fleetnode/engineinspector.h"
 #include "persimmonlb/fleetnode/fleetface.h"
+#include "persimmonlb/fleetnode/fleetsaver.h"
 #include "persimmonlb/fleetnode/fleetsettings.h"
 #include "persimmonlb/fleetnode/fleetstatus.h"
 #include "persimmonlb/fleetnode/groupcare.h"
@@ -138,7 +139,9 @@
     void receiveAsLeader(const HostId &from, const PeerBody &body);
     void takeReport(const HostId &from, const HostReport &report);
     void takeNotice(const HostId &from, const ServerNotice &notice);
-    bool applyNotice(const ServerNotice &notice);
+    /// Takes an announcement as the leader. `done` is called once what it ends holds for every
+    /// later leader too.
+    void applyNotice(const ServerNotice &notice, std::function<void(bool taken)> done);
     /// A server said in an answer to this host that it leaves.
     void serverLeaves(const ServerLeaving &leaving);
     void takeLeaving(const ServerLeaving &leaving);
@@ -146,7 +149,9 @@
     void adoptSuspects();
     /// Returns the servers and blocked suspects that the log keeps; empty if there are none.
     [[nodiscard]] FleetView savedView() const;
-    void saveFleet();
+    FleetSaverHooks saverHooks();
+    /// What the log keeps of the servers and the suspects, encoded.
+    [[nodiscard]] std::string encodeSavedView() const;
     [[nodiscard]] FleetView makeView() const;
     /// The routes in force, parsed when they have changed.
     std::shared_ptr<const RouteTable> routes();
@@ -172,9 +177,7 @@
     BulkRunner runner_;
     EngineInspector inspector_;
     std::shared_ptr<const RouteTable> routes_;
-    std::string savedFleet_; ///< Last proposed, encoded.
-    std::uint64_t savedRegistry_ = 0; ///< Version of the registry that was compared last.
-    std::uint64_t savedCrashes_ = 0; ///< Version of the ledger that was saved last.
+    FleetSaver saver_;
     std::uint64_t publishedRegistry_ = 0;
     std::vector<HostId> publishedVoters_;
     MonotonicTime nextPublish_;
--- a/persimmonlb/wire/internal/messagefields.h
+++ b/persimmonlb/wire/internal/messagefields.h
@@ -297,6 +297,7 @@
     archive.list("e", message.entries);
     archive.list("st", message.stores);
     archive.list("k", message.blockedSuspects);
+    archive.list("x", message.endedServers);
 }
 
 template <typename Archive>
