HTTP client: an orderly close ends an answer without length

Cause: the client took the end of the connection for a cut in every answer that has neither length nor chunks.

Why it works: end of file without an error is the end that HTTP defines for such an answer; a reset arrives as an error, and an end inside an event is caught by the relay as before.

--- a/persimmonlb/http/client.h
+++ b/persimmonlb/http/client.h
@@ -22,7 +22,8 @@
 /// How an exchange ended.
 struct HttpExchangeEnd {
     SendState sendState = SendState::NothingSent;
-    /// Ok: the answer was whole (by its length or last chunk). BackendConnectFailed,
+    /// Ok: the answer was whole (by its length, its last chunk or, if it has neither, the orderly
+    /// end of its connection). BackendConnectFailed,
     /// DeadlineExceeded, StreamBroken (after the head), BackendFailed (before it), Cancelled.
     ResultCode code = ResultCode::Ok;
     std::string message;
@@ -68,7 +69,9 @@
 
 /// HTTP/1.1 client with a pool of kept-alive connections per address. A pooled connection that
 /// turns out closed before any answer byte counts as Sent: this module never resends by itself.
-/// An answer without length and chunks is never Ok, because its end looks like a cut.
+/// An answer without length and chunks ends with its connection: it is Ok if that is closed in
+/// order, and not if it is reset. A server that ends its process in the middle of such an answer
+/// may close in order.
 ///
 /// Request fields that frame a message or belong to one connection (Content-Length, Connection,
 /// Transfer-Encoding, ...) are left out and written anew. The io_context must outlive the client
--- a/persimmonlb/http/internal/clientexchange.cpp
+++ b/persimmonlb/http/internal/clientexchange.cpp
@@ -314,7 +314,8 @@
 void ClientExchange::inputEnded(const ErrorCode &error)
 {
     if (headDelivered_ && error == asio::error::eof && parser_->need_eof()) {
-        broken("an answer without length or chunks cannot be told from a cut one");
+        // An answer without length or chunks ends with its connection, unless that is reset.
+        end(ResultCode::Ok, {});
         return;
     }
     broken(error == asio::error::eof ? std::string("the server closed the connection")
