Relay: responses that are not complete share one memory bound

Report of another operator: endless bytes of a faulty server used up the memory of the machine that had called it, and all its requests ended with the process.

The answer of a server that persimmonlbd asks for its state had no bound but its timeout.

Fix: RelayService counts what its calls hold and ends the attempt with the longest response beyond 16 MiB, so that the faulty one pays and short sound ones go on. The other answer is read no further than 64 KiB (by reading, no test).

Evidence: failsTheLongestResponsesWhenAllTogetherExceedTheMemoryForThem.

--- a/persimmonlb/daemon/entryupkeep.cpp
+++ b/persimmonlb/daemon/entryupkeep.cpp
@@ -10,6 +10,8 @@
 {
 
 constexpr Milliseconds digestInterval{500};
+constexpr std::size_t maxStateBytes
+    = 64UL * 1024; ///< Of the answer of a server that is asked for its state.
 
 } // namespace
 
@@ -50,8 +52,13 @@
     HttpExchangeHooks hooks;
     hooks.head = [](const HttpResponseHead &) {
     };
-    hooks.chunk = [body](const std::string &chunk) {
-        *body += chunk;
+    hooks.chunk = [this, probe, body](const std::string &chunk) {
+        if (body->size() <= maxStateBytes) {
+            *body += chunk;
+            return;
+        }
+        // Too long: not read to its end, which may never come.
+        probes[probe]->pause();
     };
     hooks.end = [this, id, probe, body, done = std::move(done)](const HttpExchangeEnd &end) {
         // The exchange is destroyed outside of its own callback.
--- a/persimmonlb/relay/internal/relaycall.cpp
+++ b/persimmonlb/relay/internal/relaycall.cpp
@@ -167,7 +167,7 @@
     triedServers_.push_back(slot_.server);
     lastProgressAt_ = service_.clock_.monotonic();
     responseClass_ = ResponseClass::Mismatched;
-    body_.clear();
+    dropBody();
     events_.reopen();
     responseBegan_ = false;
     if (service_.hooks_.hasSuspects()) {
@@ -232,15 +232,41 @@
         return;
     }
     if (body_.size() + chunk.size() > service_.options_.maxResponseBytes) {
-        // Even if its response is too long, a NotRun head means that the request did not run.
-        const bool notRun = responseClass_ == ResponseClass::NotRun;
-        possibleRuns_ += notRun ? 0 : 1;
-        body_ = std::string();
-        attemptFailed(SlotOutcome::Failed,
-                      makeError(ResultCode::BackendFailed, "the response exceeds the size limit"));
+        responseTooLong("the response exceeds the size limit");
         return;
     }
+    bufferBody(chunk);
+}
+
+std::size_t RelayService::Call::bufferedBytes() const
+{
+    return body_.size();
+}
+
+void RelayService::Call::bufferBody(std::string_view chunk)
+{
     body_ += chunk;
+    service_.bufferedBytesChanged(body_.size() - chunk.size(), body_.size());
+    service_.limitBufferedBytes();
+}
+
+void RelayService::Call::dropBody()
+{
+    service_.bufferedBytesChanged(body_.size(), 0);
+    body_ = std::string();
+}
+
+void RelayService::Call::failForMemory()
+{
+    responseTooLong("the responses that are not complete exceed the memory for them together");
+}
+
+void RelayService::Call::responseTooLong(const char *why)
+{
+    // Even if its response is too long, a NotRun head means that the request did not run.
+    possibleRuns_ += responseClass_ == ResponseClass::NotRun ? 0 : 1;
+    dropBody();
+    attemptFailed(SlotOutcome::Failed, makeError(ResultCode::BackendFailed, why));
 }
 
 void RelayService::Call::forwardEvents(std::string_view chunk)
@@ -399,11 +425,18 @@
     if (isStreaming()) {
         responder_->finish();
     } else {
-        responder_->respond(HttpResponse{head_.status, std::move(head_.headers), std::move(body_)});
+        respondWithBody();
     }
     finish("served", "");
 }
 
+void RelayService::Call::respondWithBody()
+{
+    service_.bufferedBytesChanged(body_.size(), 0);
+    responder_->respond(HttpResponse{head_.status, std::move(head_.headers), std::move(body_)});
+    body_ = std::string();
+}
+
 void RelayService::Call::endAttempt(SlotOutcome outcome)
 {
     service_.slots_.end(ticket_, outcome);
@@ -447,7 +480,7 @@
     if (responseStarted_) {
         responder_->abort();
     } else {
-        responder_->respond(HttpResponse{head_.status, std::move(head_.headers), std::move(body_)});
+        respondWithBody();
     }
     finish("server_failed", std::to_string(head_.status));
 }
@@ -526,6 +559,7 @@
 void RelayService::Call::finish(std::string_view outcome, std::string_view why)
 {
     stage_ = Stage::Ended;
+    dropBody();
     const Milliseconds took = elapsed(startedAt_, service_.clock_.monotonic());
     service_.metrics_.count("persimmonlb_relay_requests_total",
                             {{"outcome", std::string(outcome)}});
--- a/persimmonlb/relay/internal/relaycall.h
+++ b/persimmonlb/relay/internal/relaycall.h
@@ -26,6 +26,10 @@
     void tick();
     /// Ends the request because the host stops, unless its response has begun.
     void endIfUnanswered();
+    /// Bytes of a response that is not complete yet.
+    [[nodiscard]] std::size_t bufferedBytes() const;
+    /// Ends the current attempt because the responses together use too much memory.
+    void failForMemory();
 
 private:
     enum class Stage : std::uint8_t { Waiting, Sent, Ended };
@@ -37,6 +41,12 @@
     void headArrived(HttpResponseHead head);
     void chunkArrived(std::string_view chunk);
     void forwardEvents(std::string_view chunk);
+    void bufferBody(std::string_view chunk);
+    void dropBody();
+    /// Gives the complete response to the caller.
+    void respondWithBody();
+    /// Ends an attempt whose response is too long.
+    void responseTooLong(const char *why);
     void exchangeEnded(const HttpExchangeEnd &end);
     /// Handles a response that arrived to its end.
     void responseEnded();
--- a/persimmonlb/relay/relayservice.cpp
+++ b/persimmonlb/relay/relayservice.cpp
@@ -110,6 +110,25 @@
     calls_.erase(number);
 }
 
+void RelayService::bufferedBytesChanged(std::size_t formerBytes, std::size_t bytes)
+{
+    bufferedBytes_ += bytes;
+    bufferedBytes_ -= formerBytes;
+}
+
+void RelayService::limitBufferedBytes()
+{
+    while (bufferedBytes_ > options_.maxBufferedBytes) {
+        std::shared_ptr<Call> longest;
+        for (const auto &[number, call] : calls_) {
+            if (!longest || call->bufferedBytes() > longest->bufferedBytes()) {
+                longest = call;
+            }
+        }
+        longest->failForMemory();
+    }
+}
+
 bool RelayService::mayLogSuccess()
 {
     const MonotonicTime now = clock_.monotonic();
--- a/persimmonlb/relay/relayservice.h
+++ b/persimmonlb/relay/relayservice.h
@@ -53,9 +53,11 @@
     double firstTryMinTimeoutShare = 0.93;
     /// Reading from the server pauses while more bytes than this wait to be written to the caller.
     std::size_t maxUnwrittenBytes = 256UL * 1024;
-    /// A longer response counts as a failure of the server, unless it is a stream. Ten such
-    /// responses at once fit into the memory of an entry host of 88 MB.
+    /// A longer response counts as a failure of the server, unless it is a stream.
     std::size_t maxResponseBytes = 4UL * 1024 * 1024;
+    /// Of all responses that are not complete yet, together. Beyond it the longest one counts as a
+    /// failure of its server, so that faulty servers cannot use up the memory of the host.
+    std::size_t maxBufferedBytes = 16UL * 1024 * 1024;
     /// Limit of log lines for requests that were served or whose caller disconnected; requests
     /// beyond it are only counted.
     std::uint32_t maxSuccessLinesPerSecond = 20;
@@ -112,6 +114,10 @@
 
     [[nodiscard]] std::vector<std::shared_ptr<Call>> openCalls() const;
     void remove(std::uint64_t number);
+    /// A call holds `bytes` of a response instead of `formerBytes`.
+    void bufferedBytesChanged(std::size_t formerBytes, std::size_t bytes);
+    /// Ends the attempts with the longest responses until all fit into maxBufferedBytes.
+    void limitBufferedBytes();
     /// Returns false if the host is stopping and the time that the request may take ends later.
     [[nodiscard]] bool mayAccept(const RelayRequest &request) const;
     void refuseAsStopping(const RelayRequest &request, HttpResponder &responder);
@@ -125,6 +131,7 @@
     Metrics &metrics_;
     RelayHooks hooks_;
     std::optional<MonotonicTime> hostStopsAt_;
+    std::size_t bufferedBytes_ = 0;
     std::uint64_t nextCall_ = 1;
     std::map<std::uint64_t, std::shared_ptr<Call>> calls_;
     MonotonicTime logWindowStart_;
--- a/persimmonlb/relay/relayservice_test.cpp
+++ b/persimmonlb/relay/relayservice_test.cpp
@@ -340,6 +340,51 @@
     }
 }
 
+/// Guards against a host that runs out of memory since faulty servers answer many requests at once
+/// without end, each within its own limit; and against sound responses that pay for them.
+BOOST_AUTO_TEST_CASE(failsTheLongestResponsesWhenAllTogetherExceedTheMemoryForThem)
+{
+    Fixture fixture;
+    const std::size_t piece = 64UL * 1024;
+    constexpr std::size_t faulty = 8;
+    for (std::size_t request = 0; request < faulty; ++request) {
+        fixture.relay(RouteKind::OnceOnly);
+        fixture.head(200);
+    }
+    fixture.caller = std::make_shared<FakeResponder>();
+    fixture.relay(RouteKind::OnceOnly);
+    fixture.head(200);
+    fixture.chunk("sound");
+    std::size_t most = 0;
+    std::vector<std::size_t> received(faulty, 0);
+    for (std::size_t round = 0; round < 62; ++round) {
+        for (std::size_t request = 0; request < faulty; ++request) {
+            if (fixture.sendings[request]->closed) {
+                received[request] = 0;
+                continue;
+            }
+            fixture.sendings[request]->hooks.chunk(std::string(piece, 'x'));
+            received[request] += piece;
+            fixture.later.run();
+        }
+        std::size_t held = 0;
+        for (std::size_t request = 0; request < faulty; ++request) {
+            held += fixture.sendings[request]->closed ? 0 : received[request];
+        }
+        most = std::max(most, held);
+    }
+    BOOST_TEST(most <= RelayOptions{}.maxBufferedBytes);
+    fixture.end(ResultCode::Ok);
+    BOOST_TEST(fixture.caller->body == "sound");
+    // What is left is whole responses of a size that is allowed.
+    std::size_t open = 0;
+    for (std::size_t request = 0; request < faulty; ++request) {
+        open += fixture.sendings[request]->closed ? 0 : 1;
+    }
+    BOOST_TEST(open >= 4U);
+    BOOST_TEST(fixture.relayService.openRequests() == open);
+}
+
 BOOST_AUTO_TEST_CASE(failsOnceOnlyRequestWhenResponseExceedsSizeLimit)
 {
     Fixture fixture;
