Planned stop: further signals do not cut it short

Callers saw: nothing yet; a second SIGTERM, or one more from another tool, ended the process at once and cut every open request.

Cause: stop() took a second call for the wish to end at once. Storage hosts ended 0.4 s after SIGTERM even with calls that waited for the group.

Fix: stop() once begun goes on; only a second interrupt from a terminal ends at once. A storage host ends when the calls that it has read are answered, within its grace. Both programs.

Evidence: process_repeated_signals failed on ("a further signal ended the host", streams cut) and passes: 391 requests, none cut.

--- a/persimmonlb/daemon/main.cpp
+++ b/persimmonlb/daemon/main.cpp
@@ -48,15 +48,21 @@
     }
 }
 
-void waitForSignals(boost::asio::signal_set &signals, Node &node)
+/// A second interrupt, from a terminal, stops at once; a further SIGTERM does not, since the stop
+/// that the first one began cuts nobody off.
+void waitForSignals(boost::asio::signal_set &signals, Node &node, bool interrupted)
 {
-    signals.async_wait([&signals, &node](const boost::system::error_code &error, int number) {
+    signals.async_wait([&, interrupted](const boost::system::error_code &error, int number) {
         if (error) {
             return;
         }
         LogLine(LogLevel::Info, "signal").add("number", number).write();
-        node.stop();
-        waitForSignals(signals, node);
+        if (number == SIGINT && interrupted) {
+            node.stopNow();
+        } else {
+            node.stop();
+        }
+        waitForSignals(signals, node, interrupted || number == SIGINT);
     });
 }
 
@@ -70,7 +76,7 @@
         return exitCodeOf(started.error());
     }
     boost::asio::signal_set signals(context, SIGTERM, SIGINT);
-    waitForSignals(signals, node);
+    waitForSignals(signals, node, false);
     context.run();
     return node.exitCode();
 }
--- a/persimmonlb/daemon/node.cpp
+++ b/persimmonlb/daemon/node.cpp
@@ -351,12 +351,19 @@
 
 void Node::stop()
 {
-    if (parts_->draining || !parts_->entry) {
-        parts_->context.stop();
+    if (!parts_->entry) {
+        stopNow();
         return;
     }
-    parts_->draining = true;
-    parts_->entry->beginDrain();
+    if (!parts_->draining) {
+        parts_->draining = true;
+        parts_->entry->beginDrain();
+    }
+}
+
+void Node::stopNow()
+{
+    parts_->context.stop();
 }
 
 int Node::exitCode() const
--- a/persimmonlb/daemon/node.h
+++ b/persimmonlb/daemon/node.h
@@ -39,8 +39,10 @@
     /// Starts every part. Errors: AddressInUse, DataFolderUnusable, CorruptStore, SettingsInvalid.
     Result<void> start();
 
-    /// Starts the planned stop; the context ends when it is done. A second call stops at once.
+    /// Starts the planned stop; the context ends when it is done. Further calls have no effect.
     void stop();
+    /// Ends the context at once and cuts off what runs.
+    void stopNow();
 
     /// 0 after a planned stop, 1 after a failure.
     [[nodiscard]] int exitCode() const;
--- a/persimmonlb/fleetnode/fleetnode.cpp
+++ b/persimmonlb/fleetnode/fleetnode.cpp
@@ -1,5 +1,6 @@
 #include "persimmonlb/fleetnode/fleetnode.h"
 
+#include <algorithm>
 #include <exception>
 #include <utility>
 
@@ -13,8 +14,10 @@
 {
 
 constexpr Milliseconds tickInterval{20};
-/// For calls that a storage host has read to be answered before it stops.
+/// A storage host that stops waits at least this long for calls that cross its stop.
 constexpr Milliseconds storeLinger{400};
+/// Of the stop grace, never used: the process must end by itself before it is killed.
+constexpr Milliseconds storeExitMargin{300};
 constexpr Milliseconds reportInterval{300}; ///< A fifth of the silence that drops an entry host.
 
 } // namespace
@@ -83,12 +86,7 @@
 
 void FleetNode::stop()
 {
-    const auto end = [parts = parts_.get()] {
-        LogLine(LogLevel::Info, "stopped").write();
-        parts->context.stop();
-    };
     if (parts_->stopping) {
-        end();
         return;
     }
     parts_->stopping = true;
@@ -101,7 +99,22 @@
         listener->stopListening();
         listener->closeIdleConnections();
     }
-    parts_->timers.after(storeLinger, end);
+    const MonotonicTime begin = parts_->clock.monotonic();
+    const Milliseconds grace = parts_->settings.stopGrace - storeExitMargin;
+    parts_->timers.every(tickInterval, [this, begin, grace] {
+        const auto elapsed = parts_->clock.monotonic() - begin;
+        const bool isIdle = std::ranges::all_of(
+            parts_->listeners, [](const auto &listener) { return listener->openRequests() == 0; });
+        if (elapsed >= grace || (isIdle && elapsed >= storeLinger)) {
+            stopNow();
+        }
+    });
+}
+
+void FleetNode::stopNow()
+{
+    LogLine(LogLevel::Info, "stopped").write();
+    parts_->context.stop();
 }
 
 void FleetNode::settingsChanged(const FleetSettings &settings)
--- a/persimmonlb/fleetnode/fleetnode.h
+++ b/persimmonlb/fleetnode/fleetnode.h
@@ -45,8 +45,10 @@
     /// An exception that leaves a part restarts that part alone; one that leaves other work drops
     /// this work. More than three of either in a minute end the process.
     int run();
-    /// Starts the planned stop; the context ends when it is done. A second call stops at once.
+    /// Starts the planned stop; the context ends when it is done. Further calls have no effect.
     void stop();
+    /// Ends the context at once and cuts off what runs.
+    void stopNow();
     /// Takes settings that were read again; only the log level may change in a life.
     void settingsChanged(const FleetSettings &settings);
 
