--- a/persimmonlb/daemon/main.cpp
+++ b/persimmonlb/daemon/main.cpp
@@ -86,6 +86,8 @@
 int main(int argc, char **argv)
 {
     std::signal(SIGPIPE, SIG_IGN);
+    // Settings are read at the start alone; a request to read them again must not end the process.
+    std::signal(SIGHUP, SIG_IGN);
     try {
         const ProgramArguments arguments = parseProgramArguments(
             argc, argv, "persimmonlbd serves online and batch inference on one fleet.");
--- a/scripts/lib/cluster.sh
+++ b/scripts/lib/cluster.sh
@@ -322,10 +322,18 @@
   } >"$work/$name/settings.toml"
 }
 
+declare -A starts_of=() # By node, since its log began.
+
 start_node() {
+  starts_of[$1]=$((${starts_of[$1]:-0} + 1))
   start "$1" "$bin/persimmonlb-node" --settings "$work/$1/settings.toml"
 }
 
+# node_started NAME   True once the latest process of a node is up and takes signals.
+node_started() {
+  [ "$(grep -c 'event=started host' "$work/$1.log" 2>/dev/null)" -ge "${starts_of[$1]:-1}" ]
+}
+
 # node_ready NAME   True when an entry host takes callers.
 node_ready() {
   curl -sf --max-time 2 "http://$(node_address "$1"):$readiness_port/persimmonlb/readiness"
--- a/scripts/lib/fleetdriver.sh
+++ b/scripts/lib/fleetdriver.sh
@@ -61,7 +61,8 @@
 
 declare -A stopping=() # Hosts in a planned stop.
 
-stop_node() { # NAME   Begins a planned stop, see restart_stopped.
+stop_node() { # NAME   Begins a planned stop, see restart_stopped; nothing while the host starts.
+  node_started "$1" || return 0
   stopping[$1]=1
   kill -TERM "${pid_of[$1]}"
 }
