Fleet: a leader forgets ends that the log no longer has

Callers would see: a sound server that gets nothing for up to 11 s when a storage host leads a second time. That host had ended the server by mistake (a DELETE that was held up), a leader between had taken it back, and the first one still had its own note of the end: it dropped the server from the view that it adopted.

Cause: adoptEnds() added to what the host remembered of an earlier leadership. All that was acknowledged is in the log, so the log replaces it now.

Evidence: leaderForgetsEndsThatTheLogNoLongerHas fails without the line; all orders of serverlife_test hold with it.

--- a/persimmonlb/fleet/endedservers.cpp
+++ b/persimmonlb/fleet/endedservers.cpp
@@ -94,6 +94,11 @@
                   [&](const auto &entry) { return now - entry.second.at > options_.memory; });
 }
 
+void EndedServers::clear()
+{
+    ends_.clear();
+}
+
 std::vector<ServerProcess> EndedServers::all() const
 {
     std::vector<ServerProcess> result;
--- a/persimmonlb/fleet/endedservers.h
+++ b/persimmonlb/fleet/endedservers.h
@@ -42,6 +42,8 @@
     bool refuses(const FleetServer &announced);
     /// Forgets old ends.
     void tick();
+    /// Forgets all ends.
+    void clear();
 
     /// Ends to be kept beyond this process, ordered by id.
     [[nodiscard]] std::vector<ServerProcess> all() const;
--- a/persimmonlb/fleet/fleetregistry.cpp
+++ b/persimmonlb/fleet/fleetregistry.cpp
@@ -283,6 +283,9 @@
 
 void FleetRegistry::adoptEnds(const FleetView &saved)
 {
+    // What this host noted as an earlier leader may have been corrected by a later one, and what
+    // was acknowledged is in the log.
+    ended_.clear();
     for (const ServerProcess &ended : saved.endedServers) {
         ended_.record(ended.server, ended.bornMs);
     }
--- a/persimmonlb/fleet/serverlife_test.cpp
+++ b/persimmonlb/fleet/serverlife_test.cpp
@@ -221,4 +221,28 @@
     BOOST_TEST(broken == 0U);
 }
 
+/// Guards against a sound server that is dropped when a host leads again, since that host had ended
+/// it by mistake and the leader between had taken it back.
+BOOST_AUTO_TEST_CASE(leaderForgetsEndsThatTheLogNoLongerHas)
+{
+    MonotonicTime now;
+    const Clock clock{.monotonic = [&now] { return now; },
+                      .wall =
+                          [] {
+                              return WallTime();
+                          }};
+    FleetRegistry first(FleetRegistryOptions{}, clock);
+    first.announce(announcement(firstStart, 1));
+    first.serverGone(ServerId{"s"});
+    BOOST_TEST(!first.announce(announcement(firstStart, 2)));
+    // The leader between hears it for long enough.
+    FleetView between;
+    between.term = 2;
+    between.servers = {announcement(firstStart, 20)};
+    first.adopt(between);
+    first.adoptEnds(between);
+    BOOST_TEST(first.servers().size() == 1U);
+    BOOST_TEST(first.announce(announcement(firstStart, 21)));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
