--- a/persimmonlb/base/ids.h
+++ b/persimmonlb/base/ids.h
@@ -28,6 +28,8 @@
 using ServiceName = StringId<struct ServiceNameTag>;
 using ModelName = StringId<struct ModelNameTag>;
 using CallerName = StringId<struct CallerNameTag>;
+/// A customer whose callers authenticate with the keys that the routes list for it.
+using CustomerName = StringId<struct CustomerNameTag>;
 using OperatorName = StringId<struct OperatorNameTag>;
 using JobId = StringId<struct JobIdTag>;
 using AvailabilityZone = StringId<struct AvailabilityZoneTag>;
