Platform: callers with keys, batch jobs of customers, quotas over all entry hosts

Routes hold customers (tenants of the configuration). A request needs a key of one unless its route is public: 401 without, 503 while the host has no routes or no proof that they are current. Every request of a limited customer asks the leader, with its slot request; over the quota the answer is 429.

--- a/persimmonlb/agreement/agreement.cpp
+++ b/persimmonlb/agreement/agreement.cpp
@@ -35,6 +35,7 @@
     void giveUpFresh();
     [[nodiscard]] GroupStatus status() const;
     [[nodiscard]] bool isLeader() const;
+    [[nodiscard]] bool holdsLease() const;
     [[nodiscard]] std::optional<HostId> leader() const;
 
 private:
@@ -402,6 +403,11 @@
     return core_.role() == Role::Leader && serving_;
 }
 
+bool Agreement::Implementation::holdsLease() const
+{
+    return isLeader() && core_.now() < replicator_.leaseEnd();
+}
+
 std::optional<HostId> Agreement::Implementation::leader() const
 {
     return core_.leader;
@@ -464,6 +470,11 @@
     return implementation_->isLeader();
 }
 
+bool Agreement::holdsLease() const
+{
+    return implementation_->holdsLease();
+}
+
 std::optional<HostId> Agreement::leader() const
 {
     return implementation_->leader();
--- a/persimmonlb/agreement/agreement.h
+++ b/persimmonlb/agreement/agreement.h
@@ -134,6 +134,8 @@
     [[nodiscard]] GroupStatus status() const;
     /// True while this member leads and its state holds everything acknowledged before.
     [[nodiscard]] bool isLeader() const;
+    /// True while isLeader() and no other member can have been elected: a quorum was heard lately.
+    [[nodiscard]] bool holdsLease() const;
     /// The member believed to lead, if any.
     [[nodiscard]] std::optional<HostId> leader() const;
 
--- a/persimmonlb/bulk/bulktable.cpp
+++ b/persimmonlb/bulk/bulktable.cpp
@@ -22,6 +22,7 @@
 {
     visitor("route", value.route);
     visitor("host", value.host);
+    visitor("customer", value.customer);
     visitor("submittedAt", value.submittedAt);
     visitor("dueAt", value.dueAt);
     visitor("abandonAt", value.abandonAt);
@@ -37,11 +38,11 @@
 {
 }
 
-std::uint64_t BulkTable::waitingTokens(const std::string &route) const
+std::uint64_t BulkTable::waitingTokens(const std::string &route, const CustomerName &customer) const
 {
     std::uint64_t tokens = 0;
     for (const auto &[id, job] : jobs_) {
-        if (job.ended || job.route != route) {
+        if (job.ended || job.route != route || job.customer != customer) {
             continue;
         }
         for (const BulkItem &item : job.items) {
@@ -67,12 +68,13 @@
         tokens += item.tokens;
     }
     if (command.maxWaitingTokens > 0
-        && waitingTokens(command.route) + tokens > command.maxWaitingTokens) {
+        && waitingTokens(command.route, command.customer) + tokens > command.maxWaitingTokens) {
         return {.code = ResultCode::QuotaExceeded,
                 .message = "the tokens waiting on this route would exceed its limit"};
     }
     BulkJob job{.route = command.route,
                 .host = command.host,
+                .customer = command.customer,
                 .submittedAt = command.at,
                 .dueAt = command.at + command.dueAfter,
                 .abandonAt = command.at + command.abandonAfter,
--- a/persimmonlb/bulk/bulktable.h
+++ b/persimmonlb/bulk/bulktable.h
@@ -27,6 +27,7 @@
 struct BulkJob {
     std::string route;
     std::string host;
+    CustomerName customer; ///< Empty: none.
     WallTime submittedAt;
     WallTime dueAt;
     WallTime abandonAt; ///< Items without a result are abandoned after this time.
@@ -57,7 +58,8 @@
     explicit BulkTable(StateStore store);
 
     /// Adds a job. Returns Ok without a change if its id is known. Errors: QuotaExceeded if the
-    /// tokens of the waiting items on its route would exceed the command's `maxWaitingTokens`.
+    /// tokens of the waiting items of its customer on its route would exceed the command's
+    /// `maxWaitingTokens`.
     PlainReply accept(const AcceptBulk &command, MutationList &changes);
     /// Records outcomes of a job's items; an item that has a result ignores further ones. Errors:
     /// NotFound if the job is unknown or ended; MalformedRequest if an output does not continue the
@@ -90,8 +92,9 @@
     Result<void> reload();
 
 private:
-    /// Returns the tokens of all items without a result on the route.
-    [[nodiscard]] std::uint64_t waitingTokens(const std::string &route) const;
+    /// Returns the tokens of a customer's items without a result on the route.
+    [[nodiscard]] std::uint64_t waitingTokens(const std::string &route,
+                                              const CustomerName &customer) const;
     void write(const JobId &id, const BulkJob &job, MutationList &changes);
 
     StateStore store_;
--- a/persimmonlb/daemon/controlrole.cpp
+++ b/persimmonlb/daemon/controlrole.cpp
@@ -245,6 +245,11 @@
     return json.dump();
 }
 
+bool ControlRole::holdsLease() const
+{
+    return parts_ && parts_->agreement->holdsLease();
+}
+
 bool ControlRole::isLeader() const
 {
     return parts_ && parts_->agreement->isLeader();
--- a/persimmonlb/daemon/controlrole.h
+++ b/persimmonlb/daemon/controlrole.h
@@ -66,6 +66,8 @@
     /// Proposes on this member. Errors: NotLeader, NoQuorum, StoreUnavailable, Overloaded.
     void propose(const Command &command, std::function<void(Outcome<Reply>)> done);
     [[nodiscard]] bool isLeader() const;
+    /// See Agreement::holdsLease().
+    [[nodiscard]] bool holdsLease() const;
 
 private:
     struct Parts;
--- a/persimmonlb/fleet/fleetview.h
+++ b/persimmonlb/fleet/fleetview.h
@@ -125,6 +125,8 @@
     bool leaving = false; ///< The host reports to another one from now on.
     std::uint32_t followers = 0; ///< Hosts that report to the sender.
     std::uint32_t followersBehind = 0; ///< Those of them with older routes than the sender.
+    /// Echoed by the reply, see RoutesFreshness; 0: the sender needs no proof.
+    std::uint64_t stamp = 0;
 
     bool operator==(const HostReport &) const = default;
 };
@@ -143,6 +145,9 @@
     std::uint64_t term = 0; ///< Of the sender's view.
     std::uint64_t version = 0;
     std::uint64_t ageMs = 0; ///< Since the sender heard of the leader; 0: it leads.
+    std::uint64_t echoedStamp = 0; ///< Of the report; 0: no proof comes with this message.
+    std::uint64_t provenVersion = 0; ///< Routes that were proven to be the newest ones.
+    std::uint64_t proofAgeMs = 0; ///< Of that proof when the report arrived.
 
     bool operator==(const LeaderBeat &) const = default;
 };
@@ -245,6 +250,10 @@
     std::uint64_t tokens = 0; ///< Prompt and longest answer.
     std::vector<PromptPart> prompt;
     std::vector<ServerId> excluded;
+    CustomerName customer = {}; ///< Empty: none.
+    bool isCharged = false; ///< An earlier attempt was charged to the customer's quota.
+    /// Requests of the customer that the host admitted without the leader since it asked last.
+    std::uint32_t admittedLocally = 0;
 
     bool operator==(const SlotRequest &) const = default;
 };
@@ -255,6 +264,9 @@
     ServerId server = {};
     std::string address = {};
     std::uint64_t bornMs = 0; ///< Which start of the server.
+    /// Share, in thousandths, of the customer's requests in the last window that the host may admit
+    /// while it cannot ask the leader.
+    std::uint32_t localSharePermille = 0;
 
     bool operator==(const SlotGrant &) const = default;
 };
@@ -263,6 +275,7 @@
 struct SlotRefusal {
     std::uint64_t ticket = 0;
     std::uint64_t retryAfterMs = 0;
+    bool quotaExceeded = false; ///< The customer's quota is used up; else no slot is free in time.
 
     bool operator==(const SlotRefusal &) const = default;
 };
--- a/persimmonlb/fleetnode/fleetmesh.cpp
+++ b/persimmonlb/fleetnode/fleetmesh.cpp
@@ -175,6 +175,7 @@
         parsed = std::make_shared<const RouteTable>(std::move(read.value()));
     }
     routesVersion = push.version;
+    freshness.setVersion(push.version);
     LogLine(LogLevel::Info, "routes_in_force")
         .add("version", static_cast<std::int64_t>(push.version))
         .add("bytes", static_cast<std::int64_t>(push.text.size()))
--- a/persimmonlb/fleetnode/fleetparts.cpp
+++ b/persimmonlb/fleetnode/fleetparts.cpp
@@ -76,6 +76,7 @@
             .crashes = crashes,
             .send = [this](const HostId &to, PeerBody body) { return send(to, std::move(body)); },
             .view = [this]() -> const FleetView & { return view; },
+            .freshness = freshness,
             .later
             = [this](std::function<void()> fn) { boost::asio::post(context, std::move(fn)); },
             .closeAfterAnswers = [this] { callers->setCloseAfterAnswers(true); },
@@ -101,6 +102,7 @@
             .metrics = metrics,
             .client = *client,
             .crashes = crashes,
+            .freshness = freshness,
             .sendToMember =
                 [this](const HostId &from, const HostId &to, PeerBody body) {
                     return sendMessage(PeerMessage{defaultGroup, std::move(body), from, to},
--- a/persimmonlb/fleetnode/fleetpeers.cpp
+++ b/persimmonlb/fleetnode/fleetpeers.cpp
@@ -31,6 +31,8 @@
 void FleetNode::Parts::takeBeat(const HostId &from, const LeaderBeat &beat)
 {
     const Milliseconds age(static_cast<std::int64_t>(beat.ageMs));
+    freshness.confirm(beat.echoedStamp, beat.provenVersion,
+                      Milliseconds(static_cast<std::int64_t>(beat.proofAgeMs)));
     parent.heard(from, age);
     if (from == parent.parent()) {
         const MonotonicTime now = clock.monotonic();
@@ -147,6 +149,9 @@
 void FleetNode::Parts::report()
 {
     HostReport report;
+    if (settings.customers.failClosed) {
+        report.stamp = freshness.stamp();
+    }
     report.name = settings.name;
     report.meshAddress = settings.meshListen;
     report.availabilityZone = settings.availabilityZone;
--- a/persimmonlb/fleetnode/fleetsettings.cpp
+++ b/persimmonlb/fleetnode/fleetsettings.cpp
@@ -61,6 +61,20 @@
         constexpr double millisecondsPerSecond = 1000;
         return Milliseconds(static_cast<std::int64_t>(*value * millisecondsPerSecond));
     }
+    /// A number from 0 to `most`, or `otherwise` if the key is missing.
+    double amountOr(std::string_view key, double otherwise, double most)
+    {
+        const auto node = root_.at_path(key);
+        if (!node) {
+            return otherwise;
+        }
+        const auto value = node.value<double>();
+        if (!value || !(*value >= 0 && *value <= most)) {
+            complain(key, "must be a number from 0 to " + std::to_string(most));
+            return otherwise;
+        }
+        return *value;
+    }
     std::uint16_t port(std::string_view key)
     {
         constexpr std::int64_t mostPort = 65535;
@@ -121,6 +135,30 @@
     std::string complaint_;
 };
 
+CustomerSettings readCustomers(const toml::table &table, Reader &reader)
+{
+    constexpr double maxMs = 1e7;
+    constexpr double maxSeconds = 1e4;
+    constexpr double maxRequests = 1e9;
+    constexpr double msPerSecond = 1000;
+    const auto milliseconds = [](double amount) {
+        return Milliseconds(static_cast<std::int64_t>(amount));
+    };
+    CustomerSettings customers;
+    customers.failClosed
+        = table.at_path("customers.fail_closed") && reader.flag("customers.fail_closed");
+    customers.revokeTimeout = milliseconds(reader.amountOr(
+        "customers.revoke_ms", static_cast<double>(customers.revokeTimeout.count()), maxMs));
+    QuotaTolerance &quotas = customers.quotas;
+    quotas.window = milliseconds(
+        msPerSecond
+        * reader.amountOr("customers.quota_window_s",
+                          static_cast<double>(quotas.window.count()) / msPerSecond, maxSeconds));
+    quotas.overshoot = reader.amountOr("customers.quota_overshoot", quotas.overshoot, 1);
+    quotas.slack = reader.amountOr("customers.quota_slack", quotas.slack, maxRequests);
+    return customers;
+}
+
 std::string hostPart(const std::string &endpoint)
 {
     return endpoint.substr(0, endpoint.rfind(':'));
@@ -154,6 +192,7 @@
     settings.answerTtl = reader.duration("fleet.answer_ttl_ms");
     settings.stopGrace = reader.seconds("fleet.stop_grace_s");
     settings.resultsKept = reader.seconds("fleet.results_kept_s");
+    settings.customers = readCustomers(table, reader);
     const std::string level = reader.text("log.level");
     const auto found = std::ranges::find(levels, level);
     if (found == levels.end()) {
--- a/persimmonlb/fleetnode/fleetsettings.h
+++ b/persimmonlb/fleetnode/fleetsettings.h
@@ -9,10 +9,23 @@
 #include "persimmonlb/base/error.h"
 #include "persimmonlb/base/ids.h"
 #include "persimmonlb/base/logline.h"
+#include "persimmonlb/quotas/quotatolerance.h"
 
 namespace persimmonlb
 {
 
+/// What a deployment promises of keys and quotas of customers.
+struct CustomerSettings {
+    /// A host whose routes may be out of date refuses requests with a key.
+    bool failClosed = false;
+    /// A key that was taken away opens nothing after this time.
+    Milliseconds revokeTimeout{5000};
+    /// Limits on the requests of a customer: those in any window, and how far they may be exceeded.
+    QuotaTolerance quotas;
+
+    bool operator==(const CustomerSettings &) const = default;
+};
+
 /// Checked settings of one process of a fleet that forms and heals itself. Immutable.
 struct FleetSettings {
     HostId host; ///< The host's IP address: its name among our own processes.
@@ -39,6 +52,7 @@
     Milliseconds answerTtl{0}; ///< Of an answer that says where to connect.
     Milliseconds stopGrace{0}; ///< From the request to stop until the process is killed.
     Milliseconds resultsKept{0}; ///< Bulk results stay readable for so long.
+    CustomerSettings customers;
     LogLevel logLevel = LogLevel::Info;
 
     bool operator==(const FleetSettings &) const = default;
--- a/persimmonlb/fleetnode/gatewayrole.cpp
+++ b/persimmonlb/fleetnode/gatewayrole.cpp
@@ -28,6 +28,9 @@
 /// A host alone that is still without routes then has lost its parents, and waits for others.
 constexpr Milliseconds leastRoutesWait{300};
 constexpr Milliseconds returnSpread{500};
+/// Of the time after which a key that was taken away must open nothing: a proof that the routes are
+/// the newest holds for so long. The rest is left for clocks that run at different rates.
+constexpr double provenShareOfRevokeTimeout = 0.9;
 /// Callers may keep an answer three times as long as it says.
 constexpr int answerLifetimes = 3;
 
@@ -40,7 +43,9 @@
 
 GatewayRole::GatewayRole(GatewayRoleDeps deps)
     : deps_(std::move(deps))
-    , slots_(SlotClientOptions{.self = deps_.settings.host}, deps_.clock, deps_.random, slotHooks())
+    , slots_(SlotClientOptions{.self = deps_.settings.host,
+                               .quotaWindow = deps_.settings.customers.quotas.window},
+             deps_.clock, deps_.random, slotHooks())
     , verdicts_(RunVerdictReporterOptions{}, deps_.clock, deps_.crashes,
                 [this](const RunVerdict &verdict) { return sendVerdict(verdict); })
     , relay_(RelayOptions{.availabilityZone = deps_.settings.availabilityZone}, deps_.clock,
@@ -80,6 +85,9 @@
     hooks.isBrokered = [this](const ServiceName &service) {
         return isEngine(service);
     };
+    hooks.isLimited = [this](const CustomerName &customer) {
+        return routes_ && routes_->isLimited(customer);
+    };
     hooks.later = deps_.later;
     return hooks;
 }
@@ -251,6 +259,32 @@
     return routes_;
 }
 
+CallerAccess GatewayRole::accessOf(std::string_view key, bool isPublic)
+{
+    RoutesCurrency currency;
+    const CustomerSettings &customers = deps_.settings.customers;
+    if (customers.failClosed) {
+        const auto age = deps_.freshness.age();
+        const auto maxAge = std::chrono::duration_cast<Milliseconds>(customers.revokeTimeout
+                                                                     * provenShareOfRevokeTimeout);
+        currency.isProven = age && *age <= maxAge;
+        currency.newerExists = deps_.freshness.newest().version > routes_->version();
+    }
+    const CallerAccess access = checkAccess(*routes_, isPublic, key, currency);
+    if (access.decision != AccessDecision::Allowed) {
+        deps_.metrics.count(
+            "persimmonlb_callers_refused_total",
+            {{"why", access.decision == AccessDecision::UnknownKey ? "key" : "routes"}});
+    }
+    if (routes_->requiresKeys() && keysRefused_ != !currency.isProven) {
+        keysRefused_ = !currency.isProven;
+        LogLine(LogLevel::Warning, keysRefused_ ? "keys_not_honoured" : "keys_honoured_again")
+            .add("routes_version", static_cast<std::int64_t>(routes_->version()))
+            .write();
+    }
+    return access;
+}
+
 void GatewayRole::relay(RelayRequest request, std::shared_ptr<HttpResponder> responder)
 {
     relay_.relay(std::move(request), std::move(responder));
--- a/persimmonlb/fleetnode/gatewayrole.h
+++ b/persimmonlb/fleetnode/gatewayrole.h
@@ -3,18 +3,21 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "persimmonlb/base/clock.h"
 #include "persimmonlb/base/metrics.h"
 #include "persimmonlb/crashes/crashsuspectcache.h"
 #include "persimmonlb/crashes/runverdictreporter.h"
+#include "persimmonlb/customers/routesproof.h"
 #include "persimmonlb/daemon/drain.h"
 #include "persimmonlb/fleet/fleetview.h"
 #include "persimmonlb/fleetnode/fleetface.h"
 #include "persimmonlb/fleetnode/fleetsettings.h"
 #include "persimmonlb/http/client.h"
 #include "persimmonlb/relay/relayservice.h"
+#include "persimmonlb/routes/calleraccess.h"
 #include "persimmonlb/slots/slotclient.h"
 #include "persimmonlb/wire/message.h"
 
@@ -32,6 +35,8 @@
     std::function<bool(const HostId &to, PeerBody body)> send;
     /// The view of this host.
     std::function<const FleetView &()> view;
+    /// How current the routes of this host are.
+    const RoutesFreshness &freshness;
     std::function<void(std::function<void()>)> later;
     /// Asks callers to go to other hosts: answers close their connections from now on.
     std::function<void()> closeAfterAnswers;
@@ -70,6 +75,9 @@
     /// Before the first routes came: when a caller may come back and find them. Spread, so that
     /// those who are refused while a whole fleet starts do not come back all at once.
     [[nodiscard]] Milliseconds routesExpectedIn() const;
+    /// Decides whether a caller with this key (empty: none) may use the routes in force, which
+    /// must be there. `isPublic`: callers need no key.
+    [[nodiscard]] CallerAccess accessOf(std::string_view key, bool isPublic);
     void relay(RelayRequest request, std::shared_ptr<HttpResponder> responder);
     [[nodiscard]] std::size_t openRequests() const;
     /// False if this host is stopping and may have ended before a call that takes so long.
@@ -97,6 +105,7 @@
     Drain drain_;
     MonotonicTime startedAt_;
     MonotonicTime drainBegan_;
+    bool keysRefused_ = false; ///< For want of a proof, when a caller was decided on last.
 };
 
 } // namespace persimmonlb
--- a/persimmonlb/fleetnode/internal/fleetparts.h
+++ b/persimmonlb/fleetnode/internal/fleetparts.h
@@ -8,6 +8,7 @@
 
 #include "persimmonlb/base/metrics.h"
 #include "persimmonlb/crashes/crashsuspectcache.h"
+#include "persimmonlb/customers/routesproof.h"
 #include "persimmonlb/daemon/supervisor.h"
 #include "persimmonlb/daemon/timers.h"
 #include "persimmonlb/fleetnode/fleetnode.h"
@@ -72,6 +73,7 @@
     ControlClient control;
     FleetView view;
     CrashSuspectCache crashes{clock, settings.host};
+    RoutesFreshness freshness{clock};
     std::uint64_t routesVersion = 0;
     std::set<HostId> connected;
     ParentChoice parent;
--- a/persimmonlb/fleetnode/storageleading.cpp
+++ b/persimmonlb/fleetnode/storageleading.cpp
@@ -135,8 +135,9 @@
 void StorageRole::receiveAsLeader(const HostId &from, const PeerBody &body)
 {
     if (const auto *request = std::get_if<SlotRequest>(&body)) {
-        broker_.request(from, *request);
+        takeSlotRequest(from, *request);
     } else if (const auto *end = std::get_if<SlotEnd>(&body)) {
+        quotas_.giveBack(from, end->ticket);
         broker_.end(from, *end);
     } else if (const auto *held = std::get_if<SlotsHeld>(&body)) {
         broker_.setHeldSlots(from, *held);
@@ -151,6 +152,42 @@
     }
 }
 
+void StorageRole::takeSlotRequest(const HostId &from, const SlotRequest &request)
+{
+    const auto retryAfter = quotas_.admit({.host = from,
+                                           .ticket = request.ticket,
+                                           .customer = request.customer,
+                                           .isCharged = request.isCharged,
+                                           .admittedLocally = request.admittedLocally});
+    if (!retryAfter) {
+        broker_.request(from, request);
+        return;
+    }
+    deps_.metrics.count("persimmonlb_quota_refusals_total", {});
+    LogLine(LogLevel::Info, "quota_exceeded")
+        .add("host", from.value)
+        .add("ticket", static_cast<std::int64_t>(request.ticket))
+        .add("customer", request.customer.value)
+        .add("retry_after_ms", retryAfter->count())
+        .write();
+    deps_.send(from,
+               SlotRefusal{.ticket = request.ticket,
+                           .retryAfterMs = static_cast<std::uint64_t>(retryAfter->count()),
+                           .quotaExceeded = true});
+}
+
+void StorageRole::sendGrant(const HostId &to, SlotGrant grant)
+{
+    if (!grant.server.empty()) {
+        if (const auto customer = quotas_.confirm(to, grant.ticket)) {
+            constexpr double permille = 1000;
+            grant.localSharePermille
+                = static_cast<std::uint32_t>(permille * quotas_.localShareOf(*customer));
+        }
+    }
+    deps_.send(to, grant);
+}
+
 // ---- leading ------------------------------------------------------------------------------------
 
 void StorageRole::leadershipChanged(bool leads)
@@ -166,6 +203,10 @@
         inspector_.end();
         return;
     }
+    quotas_.beginTerm();
+    if (const auto table = routes()) {
+        quotas_.setCustomers(table->customers());
+    }
     adoptFleet();
     adoptSuspects();
     inspector_.begin();
@@ -288,6 +329,9 @@
     pushedRoutes_ = inForce.version;
     nextRoutesPush_ = now + routesInterval;
     auto table = routes();
+    if (table) {
+        quotas_.setCustomers(table->customers());
+    }
     refreshBroker();
     deps_.routesInForce(RoutesPush{inForce.version, inForce.text}, std::move(table));
 }
@@ -364,6 +408,7 @@
 
 void StorageRole::leaderTick()
 {
+    proveRoutes();
     pushRoutes();
     if (deps_.clock.monotonic() >= nextPublish_) {
         publishView();
--- a/persimmonlb/fleetnode/storagerole.cpp
+++ b/persimmonlb/fleetnode/storagerole.cpp
@@ -15,6 +15,9 @@
 constexpr std::size_t mostJobsShown = 200; ///< To operators.
 /// Entry hosts that come and go within this are told to the leader together.
 constexpr Milliseconds attachmentsInterval{100};
+/// Two reports of a host and some delay: after a longer time without a proof, followers may be
+/// waiting for one.
+constexpr Milliseconds proofGap{800};
 
 bool isForLeader(const PeerBody &body)
 {
@@ -31,6 +34,7 @@
     , attachments_(AttachmentsOptions{}, deps_.clock)
     , feed_(ViewFeedOptions{}, deps_.clock, feedHooks())
     , care_(GroupCareOptions{.lossesBorne = deps_.settings.lossesBorne}, deps_.clock)
+    , quotas_(deps_.settings.customers.quotas, deps_.clock)
     , broker_(SlotBrokerOptions{.availabilityZone = deps_.settings.availabilityZone}, deps_.clock,
               deps_.random, brokerHooks())
     , crashes_(CrashLedgerOptions{}, deps_.clock)
@@ -45,8 +49,12 @@
 SlotBrokerHooks StorageRole::brokerHooks()
 {
     return SlotBrokerHooks{
-        .grant = [this](const HostId &to, const SlotGrant &grant) { deps_.send(to, grant); },
-        .refuse = [this](const HostId &to, const SlotRefusal &refusal) { deps_.send(to, refusal); },
+        .grant = [this](const HostId &to, const SlotGrant &grant) { sendGrant(to, grant); },
+        .refuse =
+            [this](const HostId &to, const SlotRefusal &refusal) {
+                quotas_.giveBack(to, refusal.ticket);
+                deps_.send(to, refusal);
+            },
         .yieldBatch = [this](const ServiceName &service) { return runner_.yield(service); },
         .batchMayStart =
             [this](const ServiceName &service) {
@@ -260,11 +268,46 @@
         return;
     }
     feed_.reported(from, report);
+    replyToReport(from, reports_.at(from));
+}
+
+void StorageRole::replyToReport(const HostId &to, const HeardReport &heard)
+{
     const FleetView &view = deps_.lastView();
-    deps_.send(from,
-               LeaderBeat{.term = view.term,
-                          .version = view.version,
-                          .ageMs = static_cast<std::uint64_t>(deps_.leaderAge().count())});
+    LeaderBeat beat{.term = view.term,
+                    .version = view.version,
+                    .ageMs = static_cast<std::uint64_t>(deps_.leaderAge().count())};
+    const RoutesProof &proof = deps_.freshness.newest();
+    if (heard.report.stamp > 0 && proof.version > 0) {
+        const auto age = std::chrono::ceil<Milliseconds>(
+            std::max(heard.at - proof.provenAt, MonotonicTime::duration(0)));
+        beat.echoedStamp = heard.report.stamp;
+        beat.provenVersion = proof.version;
+        beat.proofAgeMs = static_cast<std::uint64_t>(age.count());
+    }
+    deps_.send(to, beat);
+}
+
+void StorageRole::proveRoutes()
+{
+    if (leads_ && control_->holdsLease()) {
+        deps_.freshness.confirmNow(control_->state()->routes().version);
+    }
+}
+
+void StorageRole::passProofDown()
+{
+    const MonotonicTime provenAt = deps_.freshness.newest().provenAt;
+    const bool wasOld = provenAt - provenAt_ > proofGap;
+    provenAt_ = provenAt;
+    if (!wasOld || deps_.freshness.newest().version == 0) {
+        return;
+    }
+    for (const auto &[host, heard] : reports_) {
+        if (host != deps_.settings.host && heard.report.stamp > 0) {
+            replyToReport(host, heard);
+        }
+    }
 }
 
 void StorageRole::hostConnected(const HostId &host)
@@ -280,6 +323,7 @@
     attachments_.hostLost(host);
     feed_.hostLost(host);
     reports_.erase(host);
+    quotas_.hostLost(host);
     broker_.hostLost(host);
 }
 
@@ -343,6 +387,7 @@
     attachments_.tick();
     tellAttachments();
     feed_.tick();
+    passProofDown();
     if (!running_) {
         return;
     }
--- a/persimmonlb/fleetnode/storagerole.h
+++ b/persimmonlb/fleetnode/storagerole.h
@@ -15,6 +15,7 @@
 #include "persimmonlb/bulk/bulkrunner.h"
 #include "persimmonlb/crashes/crashledger.h"
 #include "persimmonlb/crashes/crashsuspectcache.h"
+#include "persimmonlb/customers/routesproof.h"
 #include "persimmonlb/daemon/controlrole.h"
 #include "persimmonlb/fleet/fleetregistry.h"
 #include "persimmonlb/fleetnode/engineinspector.h"
@@ -27,6 +28,7 @@
 #include "persimmonlb/fleettree/attachments.h"
 #include "persimmonlb/fleettree/viewfeed.h"
 #include "persimmonlb/http/client.h"
+#include "persimmonlb/quotas/quotaledger.h"
 #include "persimmonlb/slots/slotbroker.h"
 #include "persimmonlb/wire/message.h"
 
@@ -41,6 +43,7 @@
     Metrics &metrics;
     HttpClient &client;
     const CrashSuspectCache &crashes;
+    RoutesFreshness &freshness;
     /// Sends to a host as the member `from`, to the member `to` of the group.
     std::function<bool(const HostId &from, const HostId &to, PeerBody body)> sendToMember;
     std::function<bool(const HostId &to, PeerBody body)> send;
@@ -138,6 +141,14 @@
     void logUsage();
     void receiveAsLeader(const HostId &from, const PeerBody &body);
     void takeReport(const HostId &from, const HostReport &report);
+    /// Answers the last report of a host that reports here, with what is proven of the routes.
+    void replyToReport(const HostId &to, const HeardReport &heard);
+    /// Proves, while this host leads, that its routes are the newest.
+    void proveRoutes();
+    /// Tells followers of a proof at once if there was none for long.
+    void passProofDown();
+    void takeSlotRequest(const HostId &from, const SlotRequest &request);
+    void sendGrant(const HostId &to, SlotGrant grant);
     void takeNotice(const HostId &from, const ServerNotice &notice);
     /// Takes an announcement as the leader. `done` is called once what it ends holds for every
     /// later leader too.
@@ -172,6 +183,7 @@
     MonotonicTime nextAttachments_;
     std::map<HostId, HeardReport> reports_; ///< For operators; of hosts that report here.
     GroupCare care_;
+    QuotaLedger quotas_;
     SlotBroker broker_;
     CrashLedger crashes_;
     BulkRunner runner_;
@@ -188,6 +200,7 @@
     bool leads_ = false;
     MonotonicTime nextCare_;
     MonotonicTime nextUsage_;
+    MonotonicTime provenAt_; ///< Of the newest proof when followers were last told.
     std::uint64_t nextNotice_ = 1;
     std::map<std::uint64_t, PendingNotice> notices_;
 };
--- a/persimmonlb/relay/internal/relaycall.cpp
+++ b/persimmonlb/relay/internal/relaycall.cpp
@@ -113,6 +113,8 @@
     slot.tokens = request_.tokens;
     slot.prompt = request_.prompt;
     slot.excluded = triedServers_;
+    slot.customer = request_.customer;
+    slot.isCharged = quotaCharged_;
     ticket_ = service_.slots_.acquire(std::move(slot),
                                       [weak = weak_from_this()](const SlotAnswer &answer) {
                                           if (const auto self = weak.lock()) {
@@ -126,6 +128,13 @@
     if (stage_ != Stage::Waiting) {
         return;
     }
+    if (answer.quotaExceeded) {
+        Error error = makeError(ResultCode::QuotaExceeded,
+                                "the quota of customer " + request_.customer.value + " is used up");
+        error.retryAfter = answer.retryAfter;
+        giveUp(error);
+        return;
+    }
     if (answer.server.empty()) {
         Error error = makeError(ResultCode::Overloaded,
                                 "no slot became free in time; retry after "
@@ -140,6 +149,7 @@
         return;
     }
     slot_ = answer;
+    quotaCharged_ = true;
     send();
 }
 
@@ -567,8 +577,8 @@
                               std::chrono::duration<double>(took).count());
     const bool isRateLimited = outcome == "served" || outcome == "caller_gone";
     if (!isRateLimited || service_.mayLogSuccess()) {
-        LogLine(LogLevel::Info, "request_ended")
-            .add("request", request_.id)
+        LogLine line(LogLevel::Info, "request_ended");
+        line.add("request", request_.id)
             .add("route", request_.route.name)
             .add("outcome", outcome)
             .add("why", why)
@@ -577,8 +587,11 @@
             .add("attempts", static_cast<std::int64_t>(attempts_))
             .add("may_have_run", static_cast<std::int64_t>(possibleRuns_))
             .add("took_ms", took.count())
-            .add("caller_waits_ms", request_.callerTimeout.count())
-            .write();
+            .add("caller_waits_ms", request_.callerTimeout.count());
+        if (!request_.customer.empty()) {
+            line.add("customer", request_.customer.value);
+        }
+        line.write();
     }
     service_.remove(number_);
 }
--- a/persimmonlb/relay/internal/relaycall.h
+++ b/persimmonlb/relay/internal/relaycall.h
@@ -108,6 +108,7 @@
     bool responseBegan_ = false; ///< The server of the current attempt sent the first event.
     bool responseStarted_ = false; ///< The head was sent to the caller.
     std::uint32_t attempts_ = 0;
+    bool quotaCharged_ = false; ///< An attempt got a server.
     std::uint32_t possibleRuns_ = 0; ///< Attempts that ran or may have run.
     std::vector<ServerId> triedServers_;
 };
--- a/persimmonlb/relay/relayrequest.h
+++ b/persimmonlb/relay/relayrequest.h
@@ -29,6 +29,7 @@
     /// parts before it, in order.
     std::vector<std::uint64_t> sharedParts;
     std::optional<std::uint64_t> lastEventId; ///< Last event that the caller has received.
+    CustomerName customer = {}; ///< Empty: none.
 
     bool operator==(const RelayRequest &) const = default;
 };
--- a/persimmonlb/routes/routetable.cpp
+++ b/persimmonlb/routes/routetable.cpp
@@ -46,7 +46,8 @@
 } // namespace
 
 Result<RouteTable> RouteTable::make(std::uint64_t version, std::vector<Route> routes,
-                                    std::vector<RoutedService> services, CallerLimits limits)
+                                    std::vector<RoutedService> services, CallerLimits limits,
+                                    const std::optional<std::vector<CustomerEntry>> &customers)
 {
     RouteTable table;
     for (std::size_t position = 0; position < routes.size(); ++position) {
@@ -60,6 +61,20 @@
             return fail(ResultCode::SheetMalformed, "route " + route.name + ": " + fault);
         }
     }
+    table.requiresKeys_ = customers.has_value();
+    for (const CustomerEntry &entry : customers.value_or(std::vector<CustomerEntry>())) {
+        for (const std::string &key : entry.keys) {
+            if (!table.keys_.add(key, table.customers_.size())) {
+                return fail(ResultCode::SheetMalformed,
+                            "customer " + entry.customer.name.value
+                                + ": a key is empty or belongs to another customer");
+            }
+        }
+        table.customers_.push_back(entry.customer);
+        if (entry.customer.isLimited()) {
+            table.limitedCustomers_.insert(entry.customer.name);
+        }
+    }
     table.version_ = version;
     table.routes_ = std::move(routes);
     table.services_ = std::move(services);
@@ -106,6 +121,27 @@
     return limits_;
 }
 
+bool RouteTable::requiresKeys() const
+{
+    return requiresKeys_;
+}
+
+const std::vector<Customer> &RouteTable::customers() const
+{
+    return customers_;
+}
+
+const Customer *RouteTable::findCustomer(std::string_view key) const
+{
+    const auto position = keys_.find(key);
+    return position ? &customers_[*position] : nullptr;
+}
+
+bool RouteTable::isLimited(const CustomerName &customer) const
+{
+    return limitedCustomers_.contains(customer);
+}
+
 ServiceName chooseService(const Route &route, std::uint64_t random)
 {
     const std::uint64_t total = totalWeight(route);
--- a/persimmonlb/routes/routetable.h
+++ b/persimmonlb/routes/routetable.h
@@ -2,6 +2,8 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -9,6 +11,8 @@
 #include "persimmonlb/base/clock.h"
 #include "persimmonlb/base/error.h"
 #include "persimmonlb/base/ids.h"
+#include "persimmonlb/customers/customer.h"
+#include "persimmonlb/customers/customerkeys.h"
 
 namespace persimmonlb
 {
@@ -43,7 +47,9 @@
     std::vector<WeightedService> services; ///< Weights add up to at least 1.
     Milliseconds completionTarget{0}; ///< Batch: until every result is due.
     Milliseconds abandonAfter{0}; ///< Batch: until an item may be given up.
-    std::uint64_t maxWaitingTokens = 0; ///< Batch: bound over all callers; 0: none.
+    /// Batch: bound over all callers, or over those of each customer if there are any; 0: none.
+    std::uint64_t maxWaitingTokens = 0;
+    bool isPublic = false; ///< Its callers need no key.
 
     [[nodiscard]] bool isIdempotent() const
     {
@@ -74,6 +80,14 @@
     bool operator==(const CallerLimits &) const = default;
 };
 
+/// A customer and the keys of its callers, as an operator lists them.
+struct CustomerEntry {
+    Customer customer;
+    std::vector<std::string> keys;
+
+    bool operator==(const CustomerEntry &) const = default;
+};
+
 /// A complete configuration of routes. Immutable.
 class RouteTable
 {
@@ -81,9 +95,12 @@
     RouteTable() = default;
 
     /// Errors: SheetMalformed, with the route: an unknown service, two routes with the same host
-    /// and prefix, weights that add up to 0, a prefix without its slashes, or no timeout.
+    /// and prefix, weights that add up to 0, a prefix without its slashes, or no timeout; with the
+    /// customer, but not the key: an empty key or one of two customers. Without `customers`,
+    /// callers need no keys.
     static Result<RouteTable> make(std::uint64_t version, std::vector<Route> routes,
-                                   std::vector<RoutedService> services, CallerLimits limits);
+                                   std::vector<RoutedService> services, CallerLimits limits,
+                                   const std::optional<std::vector<CustomerEntry>> &customers = {});
 
     /// The route of a request, or null.
     [[nodiscard]] const Route *find(std::string_view host, std::string_view path) const;
@@ -91,6 +108,13 @@
     [[nodiscard]] std::uint64_t version() const;
     [[nodiscard]] const std::vector<Route> &routes() const;
     [[nodiscard]] const CallerLimits &limits() const;
+    /// True if callers need keys: the configuration lists customers, even if there are none.
+    [[nodiscard]] bool requiresKeys() const;
+    [[nodiscard]] const std::vector<Customer> &customers() const;
+    /// Returns the customer that has this key, or null.
+    [[nodiscard]] const Customer *findCustomer(std::string_view key) const;
+    /// Returns true if the customer has a quota.
+    [[nodiscard]] bool isLimited(const CustomerName &customer) const;
 
     bool operator==(const RouteTable &) const = default;
 
@@ -99,6 +123,10 @@
     std::vector<Route> routes_;
     std::vector<RoutedService> services_;
     CallerLimits limits_;
+    bool requiresKeys_ = false;
+    std::vector<Customer> customers_;
+    CustomerKeys keys_; ///< To positions in customers_.
+    std::set<CustomerName> limitedCustomers_;
     /// Per host, prefix to position in routes_.
     std::map<std::string, std::map<std::string, std::size_t>, std::less<>> byHost_;
 };
--- a/persimmonlb/routes/routetable_test.cpp
+++ b/persimmonlb/routes/routetable_test.cpp
@@ -56,6 +56,32 @@
     BOOST_TEST(found(table.value(), "a.example", "") == "");
 }
 
+BOOST_AUTO_TEST_CASE(findsCustomerByAnyOfItsKeys)
+{
+    const std::vector<CustomerEntry> customers
+        = {{.customer = {.name = CustomerName{"one"}}, .keys = {"k1", "k2"}},
+           {.customer = {.name = CustomerName{"two"}}, .keys = {"k3"}}};
+    const auto table = capture([&] { return RouteTable::make(3, {}, {}, {}, customers); });
+    BOOST_REQUIRE(table.ok());
+    BOOST_REQUIRE(table.value().findCustomer("k2") != nullptr);
+    BOOST_TEST(table.value().findCustomer("k2")->name.value == "one");
+    BOOST_TEST(table.value().findCustomer("k3")->name.value == "two");
+    BOOST_TEST((table.value().findCustomer("k4") == nullptr));
+}
+
+// Guards against a key that opens two customers, and against its text in the error.
+BOOST_AUTO_TEST_CASE(refusesOneKeyForTwoCustomersWithoutNamingIt)
+{
+    const std::vector<CustomerEntry> customers
+        = {{.customer = {.name = CustomerName{"one"}}, .keys = {"secret"}},
+           {.customer = {.name = CustomerName{"two"}}, .keys = {"other", "secret"}}};
+    const auto table = capture([&] { return RouteTable::make(3, {}, {}, {}, customers); });
+    BOOST_REQUIRE(!table.ok());
+    BOOST_TEST((table.error().code == ResultCode::SheetMalformed));
+    BOOST_TEST(table.error().message.find("two") != std::string::npos);
+    BOOST_TEST(table.error().message.find("secret") == std::string::npos);
+}
+
 BOOST_AUTO_TEST_CASE(InvalidTablesAreRefused)
 {
     BOOST_TEST(!make({makeRoute("a", "/a/"), makeRoute("b", "/a/")}).ok());
--- a/persimmonlb/slots/slotclient.cpp
+++ b/persimmonlb/slots/slotclient.cpp
@@ -12,6 +12,7 @@
                        SlotClientHooks hooks)
     : options_(std::move(options))
     , clock_(clock)
+    , random_(random)
     , hooks_(std::move(hooks))
     , localBroker_(
           // Pauses of many hosts end at once, so each one saves up a single request.
@@ -19,7 +20,7 @@
                             .burstTime = Milliseconds(0),
                             .minBurst = 1,
                             .staggersFirstRequest = true},
-          std::move(clock), std::move(random),
+          clock, random,
           SlotBrokerHooks{.grant =
                               [this](const HostId &, const SlotGrant &grant) {
                                   if (!grant.server.empty()) {
@@ -30,6 +31,7 @@
                                            const SlotRefusal &refusal) { acceptRefusal(refusal); },
                           .yieldBatch = nullptr,
                           .batchMayStart = nullptr})
+    , allowance_(options_.quotaWindow, std::move(clock), std::move(random))
 {
 }
 
@@ -164,7 +166,8 @@
     const std::uint64_t ticket = nextTicket_++;
     request.ticket = ticket;
     // Hosts that choose for themselves could keep the limit of a server only on average.
-    const bool brokered = hooks_.isBrokered(request.service) || limits_.hasLimit(request.service);
+    const bool brokered = hooks_.isBrokered(request.service) || limits_.hasLimit(request.service)
+        || needsQuota(request);
     pending_.emplace(ticket,
                      Pending{.request = std::move(request),
                              .done = std::move(done),
@@ -188,17 +191,34 @@
 {
     Pending &pending = pending_.at(ticket);
     pending.requestedAt = clock_.monotonic();
+    SlotRequest request = pending.request;
+    request.admittedLocally = allowance_.takeReport(request.customer);
     // A request that could not be sent is served locally by the next tick().
-    if (broker_.empty() || !hooks_.request(broker_, pending.request)) {
+    if (broker_.empty() || !hooks_.request(broker_, request)) {
         brokerUnresponsive_ = true;
+        allowance_.restoreReport(request.customer, request.admittedLocally);
     }
 }
 
+bool SlotClient::needsQuota(const SlotRequest &request) const
+{
+    return !request.isCharged && !request.customer.empty() && hooks_.isLimited(request.customer);
+}
+
 void SlotClient::requestLocally(std::uint64_t ticket)
 {
     Pending &pending = pending_.at(ticket);
     pending.local = true;
     const SlotRequest request = pending.request;
+    if (needsQuota(request) && !allowance_.take(request.customer)) {
+        const auto spread
+            = static_cast<std::uint64_t>(std::max<std::int64_t>(1, options_.brokerReturn.count()));
+        finish(ticket,
+               {.retryAfter = options_.brokerReturn
+                    + Milliseconds(static_cast<std::int64_t>(random_() % spread))},
+               Granted{});
+        return;
+    }
     localBroker_.request(options_.self, request);
 }
 
@@ -212,7 +232,11 @@
         localBroker_.countRequest(grant.server);
     }
     const SlotRequest &request = pending->second.request;
-    finish(grant.ticket, {grant.server, grant.address, Milliseconds(0), grant.bornMs},
+    if (!local && needsQuota(request)) {
+        allowance_.recordGrant(request.customer, grant.localSharePermille);
+    }
+    finish(grant.ticket,
+           {.server = grant.server, .address = grant.address, .serverBornMs = grant.bornMs},
            Granted{.server = grant.server,
                    .startedAtMs = grant.bornMs,
                    .service = request.service,
@@ -225,7 +249,9 @@
 void SlotClient::acceptRefusal(const SlotRefusal &refusal)
 {
     finish(refusal.ticket,
-           {{}, {}, Milliseconds(static_cast<std::int64_t>(refusal.retryAfterMs)), 0}, Granted{});
+           {.retryAfter = Milliseconds(static_cast<std::int64_t>(refusal.retryAfterMs)),
+            .quotaExceeded = refusal.quotaExceeded},
+           Granted{});
 }
 
 void SlotClient::finish(std::uint64_t ticket, SlotAnswer answer, const Granted &granted)
@@ -360,6 +386,7 @@
     }
     if (!broker_.empty() && now >= nextProbe_) {
         nextProbe_ = now + options_.probeInterval;
+        allowance_.tick();
         reportLeavingServers();
         reportLimits();
         if (brokerUnresponsive_) {
--- a/persimmonlb/slots/slotclient.h
+++ b/persimmonlb/slots/slotclient.h
@@ -11,6 +11,7 @@
 #include "persimmonlb/base/ids.h"
 #include "persimmonlb/fleet/fleetview.h"
 #include "persimmonlb/fleet/leavingservers.h"
+#include "persimmonlb/quotas/localallowance.h"
 #include "persimmonlb/slots/namedlimits.h"
 #include "persimmonlb/slots/slotbroker.h"
 
@@ -26,6 +27,10 @@
     Milliseconds probeInterval{300};
     /// Interval at which the broker is told of a limit that its view does not have.
     Milliseconds limitReportInterval{100};
+    Milliseconds quotaWindow{5000}; ///< Of the quotas of customers.
+    /// A request of a customer with a quota that can neither ask the broker nor be admitted here is
+    /// refused for this time and a random part of it: a new broker is elected meanwhile.
+    Milliseconds brokerReturn{400};
 };
 
 struct SlotClientHooks {
@@ -41,16 +46,22 @@
     std::function<SlotCapacity(const ServiceName &service)> capacityOf;
     /// True if the broker allocates the slots of the service; else this host chooses a server.
     std::function<bool(const ServiceName &service)> isBrokered;
+    /// True if the customer has a quota, which the broker keeps.
+    std::function<bool(const CustomerName &customer)> isLimited
+        = [](const CustomerName & /*customer*/) {
+              return false;
+          };
     /// Runs a function after the current one has returned.
     std::function<void(std::function<void()>)> later;
 };
 
 /// Result of a request for a slot: a server, or the delay after which the caller should retry.
 struct SlotAnswer {
-    ServerId server; ///< Empty: refused.
-    std::string address;
+    ServerId server = {}; ///< Empty: refused.
+    std::string address = {};
     Milliseconds retryAfter{0};
     std::uint64_t serverBornMs = 0; ///< Which start of the server.
+    bool quotaExceeded = false; ///< Why it was refused.
 
     bool operator==(const SlotAnswer &) const = default;
 };
@@ -109,6 +120,8 @@
     };
 
     void requestLocally(std::uint64_t ticket);
+    /// True if the request must be charged to a quota.
+    [[nodiscard]] bool needsQuota(const SlotRequest &request) const;
     void requestFromBroker(std::uint64_t ticket);
     void acceptGrant(const SlotGrant &grant, bool local);
     void acceptRefusal(const SlotRefusal &refusal);
@@ -127,8 +140,10 @@
 
     SlotClientOptions options_;
     Clock clock_;
+    RandomSource random_;
     SlotClientHooks hooks_;
     SlotBroker localBroker_;
+    LocalAllowance allowance_;
     std::vector<FleetServer> servers_; ///< From the view.
     LeavingServers leaving_;
     /// Leaving servers that the view does not mark as draining.
--- a/persimmonlb/state/fleetcommand.h
+++ b/persimmonlb/state/fleetcommand.h
@@ -54,6 +54,7 @@
     Milliseconds abandonAfter{0};
     Milliseconds keepFor{0}; ///< Results stay readable for so long after the submission.
     WallTime at;
+    CustomerName customer = {}; ///< Whose waiting tokens count; empty: those of all callers.
 
     bool operator==(const AcceptBulk &) const = default;
 };
--- a/persimmonlb/state/fleetfields.h
+++ b/persimmonlb/state/fleetfields.h
@@ -49,6 +49,7 @@
     visitor("abandonAfter", value.abandonAfter);
     visitor("keepFor", value.keepFor);
     visitor("at", value.at);
+    visitor("customer", value.customer);
 }
 
 template <typename Visitor, Like<BulkOutcome> Value>
--- a/persimmonlb/wire/internal/messagefields.h
+++ b/persimmonlb/wire/internal/messagefields.h
@@ -343,6 +343,7 @@
     archive.field("l", message.leaving);
     archive.field("f", message.followers);
     archive.field("fb", message.followersBehind);
+    archive.field("st", message.stamp);
 }
 
 template <typename Archive>
@@ -351,6 +352,9 @@
     archive.field("t", message.term);
     archive.field("v", message.version);
     archive.field("a", message.ageMs);
+    archive.field("e", message.echoedStamp);
+    archive.field("pv", message.provenVersion);
+    archive.field("pa", message.proofAgeMs);
 }
 
 template <typename Archive>
@@ -401,6 +405,9 @@
     archive.field("t", message.tokens);
     archive.list("pp", message.prompt);
     archive.list("x", message.excluded);
+    archive.field("cu", message.customer);
+    archive.field("ch", message.isCharged);
+    archive.field("al", message.admittedLocally);
 }
 
 template <typename Archive>
@@ -410,6 +417,7 @@
     archive.field("s", message.server);
     archive.field("a", message.address);
     archive.field("n", message.bornMs);
+    archive.field("ls", message.localSharePermille);
 }
 
 template <typename Archive>
@@ -432,6 +440,7 @@
 {
     archive.field("i", message.ticket);
     archive.field("r", message.retryAfterMs);
+    archive.field("q", message.quotaExceeded);
 }
 
 template <typename Archive>
