--- a/persimmonlb/quotas/quotaledger.h
+++ b/persimmonlb/quotas/quotaledger.h
@@ -33,8 +33,9 @@
 ///
 /// A customer may send rate x window + burst requests in any window, and an eighth of the tolerance
 /// beyond that. A new leader learns from the entry hosts what they sent before (takeHistory). As
-/// some of them may be cut off, it admits less in its first window: three quarters of the quota if
-/// most hosts told it, else half of the tolerance and the rate from the beginning of its term. The
+/// some of them may be cut off, it admits less in its first window: the quota times the share of
+/// hosts that told it, or, without most of them, half of the tolerance and the rate from the
+/// beginning of its term. The
 /// rest of the tolerance covers what entry hosts admit without a leader (localShareOf). Not
 /// thread-safe.
 class QuotaLedger
@@ -86,6 +87,8 @@
 
     [[nodiscard]] Account makeAccount(const Customer &customer) const;
     [[nodiscard]] bool isFirstWindow(MonotonicTime now) const;
+    /// Returns the share of entry hosts that told their history.
+    [[nodiscard]] double coverage() const;
     /// Returns how many requests the account may have admitted in a window that ends now.
     [[nodiscard]] double limitOf(const Account &account, MonotonicTime now) const;
     void count(Account &account, std::uint32_t requests, MonotonicTime now) const;
