Store: at most 8 MB are replayed at start

The database kept 32 MB of each family unflushed and replayed them. Change: write buffers of 4 MB, a write-ahead log of 8 MB at most.

--- a/persimmonlb/store/database.cpp
+++ b/persimmonlb/store/database.cpp
@@ -15,8 +15,12 @@
 
 constexpr std::array<const char *, familyCount> familyNames{"default", "meta", "log", "state-a",
                                                             "state-b"};
-constexpr std::size_t logWriteBufferBytes = 32ULL * 1024 * 1024;
-constexpr std::size_t stateWriteBufferBytes = 32ULL * 1024 * 1024;
+/// What is in write buffers is replayed when a store is opened, which a start after a loss of power
+/// waits for: 31 MB took 170 to 180 ms of processor time to open, 8 MB take 50 to 55 ms.
+constexpr std::size_t writeBufferBytes = 4ULL * 1024 * 1024;
+constexpr std::uint64_t maxReplayedBytes = 8ULL * 1024 * 1024;
+/// Buffers of a family: writes go on while a slow disk takes the full ones.
+constexpr int writeBuffers = 4;
 constexpr int backgroundJobs = 2;
 
 rocksdb::DBOptions databaseOptions(rocksdb::Env *environment)
@@ -30,6 +34,7 @@
     options.max_background_jobs = backgroundJobs;
     options.info_log_level = rocksdb::InfoLogLevel::WARN_LEVEL;
     options.keep_log_file_num = 4;
+    options.max_total_wal_size = maxReplayedBytes;
     return options;
 }
 
@@ -39,8 +44,8 @@
     for (const char *name : familyNames) {
         rocksdb::ColumnFamilyOptions options;
         options.paranoid_file_checks = true;
-        options.write_buffer_size
-            = std::string_view(name) == "log" ? logWriteBufferBytes : stateWriteBufferBytes;
+        options.write_buffer_size = writeBufferBytes;
+        options.max_write_buffer_number = writeBuffers;
         descriptors.emplace_back(name, options);
     }
     return descriptors;
--- a/persimmonlb/store/diskstore_test.cpp
+++ b/persimmonlb/store/diskstore_test.cpp
@@ -429,6 +429,28 @@
     BOOST_TEST(!syncs(*store));
 }
 
+// Guards against a start after a loss of power that waits for tens of megabytes to be replayed.
+BOOST_AUTO_TEST_CASE(keepsWhatMustBeReplayedAtStartSmall)
+{
+    constexpr std::uint64_t valueBytes = 64UL * 1024;
+    constexpr int values = 512;
+    constexpr std::uintmax_t maxLogBytes = 16UL * 1024 * 1024;
+    {
+        const auto store = openWell(main());
+        for (int number = 0; number < values; ++number) {
+            const MutationList changes{{.key = std::to_string(number % 50),
+                                        .value = std::string(valueBytes, 'v')}};
+            BOOST_REQUIRE(capture([&] { return store->stateStore().write(changes); }).ok());
+        }
+        sync(*store);
+    }
+    std::uintmax_t bytes = 0;
+    for (const auto &file : fs::directory_iterator(main() / "db")) {
+        bytes += file.path().extension() == ".log" ? file.file_size() : 0;
+    }
+    BOOST_TEST(bytes <= maxLogBytes);
+}
+
 BOOST_AUTO_TEST_CASE(aMissingLogEntryIsDetectedAtStart)
 {
     fill();
