Quotas: local shares allow for a customer that grows, and more of the tolerance is used

Change: a share leaves room for half a second of growth and uses nothing of the tolerance; the leader admits the quota and half of the tolerance. quota_exceeded logs both numbers.

--- a/persimmonlb/fleetnode/storageleading.cpp
+++ b/persimmonlb/fleetnode/storageleading.cpp
@@ -166,10 +166,13 @@
         return;
     }
     deps_.metrics.count("persimmonlb_quota_refusals_total", {});
+    const QuotaUsage usage = quotas_.usage(request.customer);
     LogLine(LogLevel::Info, "quota_exceeded")
         .add("host", from.value)
         .add("ticket", static_cast<std::int64_t>(request.ticket))
         .add("customer", request.customer.value)
+        .add("admitted", static_cast<std::int64_t>(usage.admitted))
+        .add("limit", static_cast<std::int64_t>(usage.limit))
         .add("retry_after_ms", retryAfter->count())
         .write();
     deps_.send(from,
--- a/persimmonlb/quotas/quotafleet_test.cpp
+++ b/persimmonlb/quotas/quotafleet_test.cpp
@@ -274,6 +274,32 @@
     }
 }
 
+// Guards against shares that hosts were told before a customer's callers became many: the leader is
+// lost while they do.
+BOOST_AUTO_TEST_CASE(staysWithinQuotaWhenLeaderIsLostAsCustomerBecomesHot)
+{
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        Model model(80, seed);
+        const std::size_t hot = seed % 4;
+        const double lostAt = 10.45 + static_cast<double>(seed) * 0.05;
+        bool isLost = false;
+        model.factorOf = [&](std::size_t rank, double second) {
+            return rank == hot && second > 10.4 && second < 16 ? 7.0 : 1.0;
+        };
+        model.canAskLeader = [&](std::size_t) {
+            return !isLost;
+        };
+        model.atTime = [&](double second) {
+            const bool lost = second > lostAt && second < lostAt + 1.5;
+            if (std::exchange(isLost, lost) && !lost) {
+                model.newLeader();
+            }
+        };
+        model.run(20);
+        BOOST_TEST(model.worstExcess() <= 0, "seed " << seed);
+    }
+}
+
 // Guards against hosts that are cut off with a hot customer and go on admitting for ever.
 BOOST_AUTO_TEST_CASE(hostsThatAreCutOffSpendTheirAllowanceOnce)
 {
--- a/persimmonlb/quotas/quotaledger.h
+++ b/persimmonlb/quotas/quotaledger.h
@@ -29,9 +29,17 @@
     bool operator==(const QuotaRequest &) const = default;
 };
 
+/// What is counted of a customer's quota.
+struct QuotaUsage {
+    std::uint64_t admitted = 0; ///< Requests in the window that ends now.
+    std::uint64_t limit = 0;
+
+    bool operator==(const QuotaUsage &) const = default;
+};
+
 /// The quotas of all customers, kept by the leader, which every request of a limited customer asks.
 ///
-/// A customer may send rate x window + burst requests in any window, and an eighth of the tolerance
+/// A customer may send rate x window + burst requests in any window, and half of the tolerance
 /// beyond that. A new leader learns from the entry hosts what they sent before (takeHistory). As
 /// some of them may be cut off, it admits less in its first window: the quota times the share of
 /// hosts that told it, or, without most of them, half of the tolerance and the rate from the
@@ -68,6 +76,8 @@
     /// leader, as a share of those that it sent in the last window: what all hosts together admit
     /// so stays within the quota as long as the customer was well below it.
     [[nodiscard]] double localShareOf(const CustomerName &customer) const;
+    /// Returns what is counted of a customer's quota now; zeros if it has none.
+    [[nodiscard]] QuotaUsage usage(const CustomerName &customer) const;
     /// True if the customer has a quota.
     [[nodiscard]] bool isLimited(const CustomerName &customer) const;
 
--- a/persimmonlb/quotas/requestlog.h
+++ b/persimmonlb/quotas/requestlog.h
@@ -22,6 +22,8 @@
     void remove(MonotonicTime at);
     /// Returns the number of requests after `now` less the window.
     [[nodiscard]] std::size_t total(MonotonicTime now) const;
+    /// Returns the number of requests after `time`, which lies in the window.
+    [[nodiscard]] std::size_t countAfter(MonotonicTime time) const;
     /// Returns when the total is below `limit` if no request is added; `now` if it already is.
     [[nodiscard]] MonotonicTime whenBelow(std::size_t limit, MonotonicTime now) const;
 
