Elections: the opening of a store counts towards the wait for a lease

A member that opens its store acknowledges nothing to a leader, so no lease depends on it when the opening took longer than the wait. Votes are withheld as before, from silentSince on.

--- a/persimmonlb/agreement/core.cpp
+++ b/persimmonlb/agreement/core.cpp
@@ -8,6 +8,14 @@
 namespace persimmonlb::internal
 {
 
+namespace
+{
+
+/// Of the election timeouts of a member that has heard no leader since it started.
+constexpr int startTimeoutDivisor = 4;
+
+} // namespace
+
 Core::Core(AgreementOptions agreementOptions, AgreementDependencies agreementDependencies)
     : options(std::move(agreementOptions))
     , dependencies(std::move(agreementDependencies))
@@ -26,7 +34,7 @@
     }
     commitIndex = appliedIndex;
     syncedIndex_ = log.compacted().index;
-    leaderHeardAt = now();
+    leaderHeardAt = options.silentSince.value_or(now());
     restartElectionTimer();
     configurationChanged();
     return {};
@@ -44,8 +52,14 @@
 
 void Core::restartElectionTimer()
 {
-    const Microseconds least = options.timeouts.electionTimeoutMin;
-    const Microseconds spread = options.timeouts.electionTimeoutMax - least;
+    Microseconds least = options.timeouts.electionTimeoutMin;
+    Microseconds spread = options.timeouts.electionTimeoutMax - least;
+    if (options.silentSince && !leaderHeard) {
+        // Until the other members can be reached, pre-votes fail and cost nothing; votes are
+        // withheld as long as a lease may be held.
+        least /= startTimeoutDivisor;
+        spread = least;
+    }
     const auto extra = dependencies.random() % static_cast<std::uint64_t>(spread.count() + 1);
     electionDeadline = now() + least + Microseconds(static_cast<std::int64_t>(extra));
 }
--- a/persimmonlb/agreement/fakegroup.cpp
+++ b/persimmonlb/agreement/fakegroup.cpp
@@ -96,7 +96,7 @@
     restart(host);
 }
 
-void FakeGroup::restart(const HostId &host)
+void FakeGroup::restart(const HostId &host, std::optional<MonotonicTime> silentSince)
 {
     Host &started = hosts_.at(host);
     if (started.agreement) {
@@ -108,6 +108,7 @@
     started.store->repair();
     AgreementOptions options = options_;
     options.self = host;
+    options.silentSince = silentSince;
     started.agreement = std::make_unique<Agreement>(options, dependenciesOf(host));
     const auto outcome = capture([&] { return started.agreement->start(); });
     if (!outcome.ok()) {
--- a/persimmonlb/agreement/fakegroup.h
+++ b/persimmonlb/agreement/fakegroup.h
@@ -71,7 +71,8 @@
     void add(const HostId &host);
     /// Loses what was not synced but a random part of it.
     void crash(const HostId &host);
-    void restart(const HostId &host);
+    /// `silentSince`: see AgreementOptions.
+    void restart(const HostId &host, std::optional<MonotonicTime> silentSince = {});
     /// Crashes the host and empties its disk.
     void loseDisk(const HostId &host);
     /// Stops a host as SIGSTOP does; what arrives meanwhile is delivered at resume().
--- a/persimmonlb/agreement/options.h
+++ b/persimmonlb/agreement/options.h
@@ -2,6 +2,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 
 #include "persimmonlb/base/clock.h"
 #include "persimmonlb/base/ids.h"
@@ -46,6 +47,9 @@
     GroupId group = defaultGroup;
     AgreementTimeouts timeouts;
     AgreementLimits limits;
+    /// The member has acknowledged nothing to any leader since then: a store that takes long to
+    /// open counts towards the time for which votes are withheld. Empty: since start().
+    std::optional<MonotonicTime> silentSince = {};
 };
 
 } // namespace persimmonlb
--- a/persimmonlb/daemon/controlrole.cpp
+++ b/persimmonlb/daemon/controlrole.cpp
@@ -19,9 +19,10 @@
 constexpr Milliseconds lapseCheckInterval{100};
 constexpr std::uint64_t retainedShare = 2; ///< Half of the snapshot interval stays in the log.
 
-AgreementOptions makeOptions(const ControlRoleDeps &deps)
+AgreementOptions makeOptions(const ControlRoleDeps &deps, MonotonicTime openingSince)
 {
     AgreementOptions options;
+    options.silentSince = openingSince;
     options.self = deps.member;
     options.timeouts = deps.timeouts;
     options.limits.compactAfterEntries = deps.snapshotEntries;
@@ -55,6 +56,7 @@
 
 Result<void> ControlRole::start()
 {
+    const MonotonicTime openingSince = deps_.clock.monotonic();
     BOOST_LEAF_AUTO(
         store,
         DiskStore::open({.folder = deps_.dataFolder, .host = deps_.member, .post = deps_.post}));
@@ -128,7 +130,7 @@
         deps_.post([this, why = error.message] { deps_.failed(why); });
     };
     parts->agreement
-        = std::make_unique<Agreement>(makeOptions(deps_),
+        = std::make_unique<Agreement>(makeOptions(deps_, openingSince),
                                       AgreementDependencies{.log = parts->store->logStore(),
                                                             .state = parts->store->stateStore(),
                                                             .machine = parts->state.machine(),
