Process tests: callers that keep large requests open

No test showed it. Change: open_bodies (60 chunked bodies of 960 KiB, in chunks of 64 KiB and of one byte) and open_headers (240 header sections of 16,000 bytes, most lines of four bytes), sent by hostilecaller to one entry host with maxBodyBytes 1 MiB. They check that the process lives, that its resident memory grows by no more than 24 MB (three times the 8 MB of limits.caller_memory_mb in the test's settings, which is not read yet), that it opens no more than 64 descriptors beside those of the callers, and that an ordinary request is served. They run serially. Evidence: both fail on this code, as they should. Resident before the load 18.0 MB; peak 76.8 MB with chunks of 64 KiB (60 written, none ended), 70.4 MB with chunks of one byte (run alone), 73.1 MB with header sections. Descriptors 21, then 81 and 261.

--- /dev/null
+++ b/scripts/lib/hostilecaller.sh
@@ -0,0 +1,75 @@
+# Callers that keep requests open against one entry host with lowered limits, and the checks of that host.
+# Sourced after scripts/process-tests/common.sh and scripts/lib/fleetdriver.sh.
+
+caller_memory_mb=8
+# What the host may grow by: the memory of callers, and as much again twice for the allocator and what is not callers' input.
+allowed_growth_kb=$((3 * caller_memory_mb * 1024))
+spare_descriptors=64
+
+# start_lowered_fleet   Three storage hosts, entry-0 with lowered memory for callers, and backend servers. Sets
+# `memory` to what entry-0 has resident before any load.
+start_lowered_fleet() {
+  write_chat_routes "$work/routes.json"
+  # The times are long, so that no request is ended for being slow.
+  sed -i 's/"maxBodyBytes":[0-9]*/"maxBodyBytes":1048576/; s/"headerTimeoutMs":[0-9]*/"headerTimeoutMs":120000/;
+    s/"idleTimeoutMs":[0-9]*/"idleTimeoutMs":120000/' "$work/routes.json"
+  local i
+  for i in 0 1 2; do
+    write_node "store-$i" 3 true
+    start_node "store-$i"
+  done
+  write_node entry-0 3 true
+  printf '[limits]\ncaller_memory_mb = %d\n' "$caller_memory_mb" >>"$work/entry-0/settings.toml"
+  start_node entry-0
+  wait_for "$start_patience" routes_taken "$work/routes.json" || fail "routes"
+  wait_for "$start_patience" node_ready entry-0 || fail "start of entry-0"
+  start_driver 3 1 --servers 3 --rate 1 --seconds 200
+  wait_for 30 is_served || fail "no request is served before the load"
+  memory=$(status_field VmRSS)
+}
+
+# status_field NAME   Prints a field of the kernel's status of entry-0, in kB where it is memory.
+status_field() {
+  sed -n "s/^$1:[[:space:]]*\([0-9]*\).*/\1/p" "/proc/${pid_of[entry-0]}/status"
+}
+
+descriptors() {
+  local open=("/proc/${pid_of[entry-0]}/fd/"*)
+  echo "${#open[@]}"
+}
+
+# is_served   True when an ordinary request gets its answer.
+is_served() {
+  curl -sf --max-time 5 -o /dev/null -X POST -H "Host: chat.example" -H "Request-Id: r-$RANDOM$RANDOM" -H "Model: m" \
+    -H "Token-Count: 300,80" -H "Prompt-Prefix: a1:100,b1:100" -H "Deadline-Ms: 5000" \
+    "http://$(node_address entry-0):$caller_port/chat/ordinary"
+}
+
+# input_is_read   True when entry-0 has read everything that was sent to its listener for callers.
+input_is_read() {
+  local a b c d local_address
+  IFS=. read -r a b c d <<<"$(node_address entry-0)"
+  local_address=$(printf '%02X%02X%02X%02X:%04X' "$d" "$c" "$b" "$a" "$caller_port")
+  ! awk -v at="$local_address" '{ split($5, queues, ":") }
+      ($2 == at && queues[2] != "00000000") || ($3 == at && queues[1] != "00000000")' /proc/net/tcp | grep -q .
+}
+
+# attack NAME CONNECTIONS ARGUMENT...   Opens requests at entry-0 until all are written or ended, and checks the host.
+# VmHWM is the most memory that the process ever had resident.
+attack() {
+  local name=$1 connections=$2 open peak
+  shift 2
+  open=$(descriptors)
+  start "$name" "$bin/hostilecaller" --ip "$(node_address entry-0)" --port "$caller_port" --host chat.example \
+    --path /chat/open --connections "$connections" "$@"
+  wait_for 90 grep -q settled "$work/$name.log" || fail "$name: the host does not read on"
+  wait_for 60 input_is_read || fail "$name: the host does not read on"
+  kill -0 "${pid_of[entry-0]}" 2>/dev/null || fail "$name: the host has ended"
+  peak=$(status_field VmHWM)
+  echo "$name: $(grep settled "$work/$name.log"); resident $memory kB, peak $peak kB; descriptors $open, then $(descriptors)"
+  [ "$(descriptors)" -le $((open + connections + spare_descriptors)) ] || fail "$name: too many descriptors"
+  [ "$peak" -le $((memory + allowed_growth_kb)) ] || fail "$name: grew by more than $allowed_growth_kb kB"
+  wait_for 30 is_served || fail "$name: no ordinary request is served"
+  kill -TERM "${pid_of[$name]}"
+  forget_process "${pid_of[$name]}"
+}
