HTTP server: one account of the memory that callers take

Cause: open requests were bounded one by one, never together; answers that callers do not read were not bounded at all. Change: CallerMemory counts, for each connection and for all listeners of a host, what is allocated for incomplete requests (strings by capacity, header fields with their objects), for requests that their handler has, and for answers that are not read. Beyond the bound the largest incomplete request is refused with 503 and Retry-After, or, while answers take more than half of it, the largest reader is closed. A request that was passed on is never refused.

--- a/persimmonlb/fleetnode/fleetface.h
+++ b/persimmonlb/fleetnode/fleetface.h
@@ -33,6 +33,8 @@
     HttpHandler control;
     /// What a connection that is closed while idle is told.
     std::function<HttpResponse()> farewell;
+    /// The answer to a request that is refused before it is looked at.
+    std::function<HttpResponse(const Error &error)> refusal;
 };
 
 } // namespace persimmonlb
--- a/persimmonlb/fleetnode/fleetsettings.cpp
+++ b/persimmonlb/fleetnode/fleetsettings.cpp
@@ -159,6 +159,16 @@
     return customers;
 }
 
+std::uint64_t readCallerMemory(Reader &reader, std::uint64_t otherwise)
+{
+    constexpr double bytesPerMb = 1024.0 * 1024;
+    constexpr double maxMb = 1e6;
+    return static_cast<std::uint64_t>(bytesPerMb
+                                      * reader.amountOr("limits.caller_memory_mb",
+                                                        static_cast<double>(otherwise) / bytesPerMb,
+                                                        maxMb));
+}
+
 std::string hostPart(const std::string &endpoint)
 {
     return endpoint.substr(0, endpoint.rfind(':'));
@@ -193,6 +203,7 @@
     settings.stopGrace = reader.seconds("fleet.stop_grace_s");
     settings.resultsKept = reader.seconds("fleet.results_kept_s");
     settings.customers = readCustomers(table, reader);
+    settings.callerMemoryBytes = readCallerMemory(reader, settings.callerMemoryBytes);
     const std::string level = reader.text("log.level");
     const auto found = std::ranges::find(levels, level);
     if (found == levels.end()) {
--- a/persimmonlb/http/internal/messageparser.h
+++ b/persimmonlb/http/internal/messageparser.h
@@ -10,6 +10,7 @@
 #include <boost/beast/http/basic_parser.hpp>
 #include <boost/beast/http/error.hpp>
 
+#include "persimmonlb/http/callermemory.h"
 #include "persimmonlb/http/message.h"
 
 namespace persimmonlb::internal
@@ -78,6 +79,12 @@
     {
         return body_;
     }
+    /// Memory that the parsed message takes, with what its strings and fields have in reserve.
+    [[nodiscard]] std::uint64_t allocatedBytes() const
+    {
+        return heapBytes(method_) + heapBytes(target_) + heapBytes(body_) + fieldHeapBytes_
+            + fieldArrayBytes(headers_);
+    }
 
 private:
     /// Beast requires five bytes to look at a last chunk again.
@@ -130,6 +137,8 @@
             return;
         }
         headers_.fields.push_back({std::string(name), std::string(value)});
+        const HttpHeader &field = headers_.fields.back();
+        fieldHeapBytes_ += heapBytes(field.name) + heapBytes(field.value);
     }
     void on_header_impl(ErrorCode &error) override // NOLINT: Beast's name
     {
@@ -164,6 +173,7 @@
     std::uint32_t maxHeaderBytes_;
     std::uint64_t headerBytes_ = 0;
     std::uint64_t fieldBytes_ = 0;
+    std::uint64_t fieldHeapBytes_ = 0;
     std::uint64_t chunkRemaining_ = 0;
     int version_ = 0;
     std::uint16_t status_ = 0;
--- a/persimmonlb/http/internal/serveranswer.cpp
+++ b/persimmonlb/http/internal/serveranswer.cpp
@@ -152,10 +152,17 @@
 
 void ServerConnection::reject(const Error &error)
 {
-    queueWholeAnswer(errorResponse(error), true);
+    refuse(errorResponse(error));
+}
+
+/// Answers and closes; the request on the way is never run.
+void ServerConnection::refuse(HttpResponse response)
+{
+    queueWholeAnswer(std::move(response), true);
     phase_ = Phase::Closing;
     parser_.reset();
-    input_.clear();
+    input_ = {};
+    accountMemory();
     flush();
 }
 
@@ -195,12 +202,14 @@
     const ErrorCode error = writeSome();
     if (error == asio::error::would_block || error == asio::error::try_again) {
         awaitOutput();
+        relieveMemory();
         return;
     }
     if (error) {
         callerGone();
         return;
     }
+    accountMemory();
     outputDrained();
 }
 
@@ -284,6 +293,8 @@
         requestOpen_ = false;
         --shared_->openRequests;
     }
+    passedOnBytes_ = 0;
+    accountMemory();
 }
 
 } // namespace persimmonlb::internal
--- a/persimmonlb/http/internal/serverconnection.cpp
+++ b/persimmonlb/http/internal/serverconnection.cpp
@@ -17,6 +17,9 @@
 
 /// Bytes of later requests that are read while one is being answered.
 constexpr std::size_t maxReadAhead = 64UL * 1024;
+/// For a caller that is refused for want of memory: about the time in which requests end.
+constexpr Milliseconds memoryRetryAfter{1000};
+
 std::string formatAddress(const ServerConnection::Socket &socket)
 {
     boost::system::error_code error;
@@ -44,6 +47,13 @@
     socket_.non_blocking(true, ignored);
     remoteAddress_ = formatAddress(socket_);
     setDeadline(shared_->options.idleTimeout);
+    if (shared_->options.memory) {
+        memoryHolder_ = shared_->options.memory->add([weak = weak_from_this()](CallerDrop why) {
+            if (const auto self = weak.lock()) {
+                self->dropForMemory(why);
+            }
+        });
+    }
     awaitInput();
 }
 
@@ -156,6 +166,7 @@
     }
     if (phase_ == Phase::Answering) {
         input_ += bytes;
+        relieveMemory();
         return;
     }
     if (input_.empty()) {
@@ -219,6 +230,10 @@
         return;
     }
     input_.assign(bytes.substr(used));
+    relieveMemory();
+    if (!parser_) {
+        return;
+    }
     if (phase_ == Phase::Header && parser_->is_header_done()) {
         headerReceived();
     }
@@ -269,12 +284,14 @@
     closeAfterAnswer_ = !parser_->keep_alive();
     requestOpen_ = true;
     ++shared_->openRequests;
+    passedOnBytes_ = parser_->allocatedBytes();
     HttpRequest request{.method = parser_->method(),
                         .target = parser_->target(),
                         .headers = std::move(parser_->headers()),
                         .body = std::move(parser_->body()),
                         .remoteAddress = remoteAddress_};
     parser_.reset();
+    accountMemory();
     answerState_ = std::make_shared<AnswerState>();
     shared_->handler(std::move(request),
                      makeResponder(weak_from_this(), currentAnswer_, answerState_, shared_));
@@ -293,6 +310,53 @@
     awaitInput();
 }
 
+// ---- memory -------------------------------------------------------------------------------
+
+CallerUse ServerConnection::memoryUse() const
+{
+    CallerUse use;
+    use.passedOn = passedOnBytes_;
+    for (const std::string &piece : output_) {
+        use.unread += sizeof(piece) + heapBytes(piece);
+    }
+    // What is sent ahead of an answer can only be dropped with the connection.
+    (phase_ == Phase::Answering ? use.unread : use.unfinished) += heapBytes(input_);
+    if (parser_) {
+        use.unfinished += sizeof(RequestParser) + parser_->allocatedBytes();
+    }
+    return use;
+}
+
+void ServerConnection::accountMemory()
+{
+    if (memoryHolder_ != 0) {
+        shared_->options.memory->set(memoryHolder_, memoryUse());
+    }
+}
+
+/// May drop this connection or another one. Not called inside a call of a handler, as the hook
+/// of a caller that went away may run.
+void ServerConnection::relieveMemory()
+{
+    if (memoryHolder_ != 0) {
+        accountMemory();
+        shared_->options.memory->relieve();
+    }
+}
+
+void ServerConnection::dropForMemory(CallerDrop why)
+{
+    const bool isRefusable = phase_ == Phase::Header || phase_ == Phase::Body;
+    if (why != CallerDrop::Request || !isRefusable) {
+        callerGone();
+        return;
+    }
+    Error error = makeError(ResultCode::Overloaded, "this host has no memory left for the request");
+    error.retryAfter = memoryRetryAfter;
+    const auto &refusal = shared_->options.refusal;
+    refuse(refusal ? refusal(error) : errorResponse(error));
+}
+
 // ---- end ------------------------------------------------------------------------------------
 
 /// Ends the sending direction and waits for the caller to close, so that the last answer is not
@@ -336,6 +400,11 @@
     endRequest();
     writtenHooks_.clear();
     output_.clear();
+    parser_.reset();
+    input_ = {};
+    if (memoryHolder_ != 0) {
+        shared_->options.memory->remove(std::exchange(memoryHolder_, 0));
+    }
     shared_->connections.erase(shared_from_this());
 }
 
--- a/persimmonlb/http/internal/serverconnection.h
+++ b/persimmonlb/http/internal/serverconnection.h
@@ -94,6 +94,11 @@
     void nextRequest();
 
     void reject(const Error &error);
+    void refuse(HttpResponse response);
+    [[nodiscard]] CallerUse memoryUse() const;
+    void accountMemory();
+    void relieveMemory();
+    void dropForMemory(CallerDrop why);
     void queueWholeAnswer(HttpResponse response, bool close);
     void queue(std::string bytes);
     void flush();
@@ -116,6 +121,8 @@
     std::optional<RequestParser> parser_;
     std::string input_; ///< Received, not yet parsed.
     std::string remoteAddress_;
+    CallerMemory::Holder memoryHolder_ = 0; ///< 0: has no entry in the account.
+    std::uint64_t passedOnBytes_ = 0; ///< Memory of the request that the handler has.
 
     std::deque<std::string> output_;
     std::size_t outputOffset_ = 0; ///< Bytes of output_.front() that are written.
--- a/persimmonlb/http/server.h
+++ b/persimmonlb/http/server.h
@@ -8,6 +8,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include "persimmonlb/base/error.h"
+#include "persimmonlb/http/callermemory.h"
 #include "persimmonlb/http/message.h"
 
 namespace persimmonlb
@@ -49,6 +50,11 @@
     /// The answer that an idle connection gets before closeIdleConnections() closes it; without
     /// a hook: code 305 without other hosts. Nothing that arrives after it is ever run.
     std::function<HttpResponse()> farewell;
+    /// Account of the memory that callers take, shared by the servers of a host; none: no bound.
+    std::shared_ptr<CallerMemory> memory;
+    /// The answer to a request that is refused for want of memory before it is passed on; without
+    /// a hook: the error body of INTERFACE.md.
+    std::function<HttpResponse(const Error &error)> refusal;
 };
 
 /// The bounds that may change while a server runs; they hold from the next request on.
