--- a/persimmonlb/daemon/entryrole.cpp
+++ b/persimmonlb/daemon/entryrole.cpp
@@ -30,6 +30,7 @@
     options.maxBodyBytes = entry.maxBodyBytes;
     options.maxHeaderBytes = entry.maxHeaderBytes;
     options.maxConnections = entry.maxConnections;
+    options.memory = parts_->callerMemory;
     options.headerTimeout = entry.headerTimeout;
     options.bodyTimeout = entry.bodyTimeout;
     options.idleTimeout = entry.idleTimeout;
--- a/persimmonlb/daemon/entryupkeep.cpp
+++ b/persimmonlb/daemon/entryupkeep.cpp
@@ -139,6 +139,7 @@
 
 void EntryRole::Parts::updateGauges()
 {
+    reportCallerMemory(*callerMemory, deps.metrics);
     deps.metrics.set("persimmonlb_in_force", {}, lease.inForce() ? 1 : 0);
     deps.metrics.set("persimmonlb_sheet_number", {},
                      lease.sheet() ? static_cast<double>(lease.sheet()->number) : 0);
--- a/persimmonlb/daemon/internal/entryparts.h
+++ b/persimmonlb/daemon/internal/entryparts.h
@@ -15,6 +15,7 @@
 #include "persimmonlb/daemon/drain.h"
 #include "persimmonlb/daemon/entryrole.h"
 #include "persimmonlb/dispatch/dispatcher.h"
+#include "persimmonlb/http/reportedcallermemory.h"
 #include "persimmonlb/http/target.h"
 #include "persimmonlb/membership/directory.h"
 #include "persimmonlb/membership/servertable.h"
@@ -94,6 +95,8 @@
     BatchApi batches;
     OperatorApi operators;
     Drain drain;
+    std::shared_ptr<CallerMemory> callerMemory
+        = makeReportedCallerMemory(deps.settings.entry.callerMemoryBytes, deps.metrics);
     std::unique_ptr<HttpServer> server;
     std::map<std::uint64_t, std::unique_ptr<HttpExchange>> probes; ///< GET /state under way.
     std::uint64_t nextProbe = 1;
--- a/persimmonlb/daemon/settings.cpp
+++ b/persimmonlb/daemon/settings.cpp
@@ -43,6 +43,9 @@
      "Largest header section."},
     {"entry.max_connections", SettingType::Integer, "", 1, 1000000, "20000",
      "Connections served at once."},
+    {"entry.caller_memory_mb", SettingType::Integer, "MB", 0, 1000000, "1024",
+     "Memory for what callers send and do not read, at least four of entry.max_body_bytes; 0: no "
+     "bound."},
     {"entry.header_timeout_ms", SettingType::Integer, "ms", 10, 600000, "10000",
      "Time to receive a header section."},
     {"entry.body_timeout_ms", SettingType::Integer, "ms", 10, 3600000, "60000",
@@ -259,6 +262,15 @@
     return host;
 }
 
+/// A single request of the largest size is always within it: a body that grows takes up to twice
+/// its size, and a handler has a copy to send on.
+std::uint64_t readCallerMemory(std::uint64_t megabytes, std::uint64_t maxBodyBytes)
+{
+    constexpr std::uint64_t bytesPerMb = 1024ULL * 1024;
+    constexpr std::uint64_t leastBodies = 4;
+    return megabytes == 0 ? 0 : std::max(megabytes * bytesPerMb, leastBodies * maxBodyBytes);
+}
+
 Result<EntrySettings> readEntry(const Reader &reader)
 {
     constexpr std::array<std::string_view, 2> lapsePolicies = {"refuse", "serve"};
@@ -282,6 +294,8 @@
     entry.maxBodyBytes = static_cast<std::uint64_t>(reader.integer("entry.max_body_bytes"));
     entry.maxHeaderBytes = static_cast<std::uint32_t>(reader.integer("entry.max_header_bytes"));
     entry.maxConnections = static_cast<std::uint32_t>(reader.integer("entry.max_connections"));
+    entry.callerMemoryBytes = readCallerMemory(
+        static_cast<std::uint64_t>(reader.integer("entry.caller_memory_mb")), entry.maxBodyBytes);
     entry.headerTimeout = reader.duration("entry.header_timeout_ms");
     entry.bodyTimeout = reader.duration("entry.body_timeout_ms");
     entry.idleTimeout = reader.duration("entry.idle_timeout_ms");
--- a/persimmonlb/daemon/settings.h
+++ b/persimmonlb/daemon/settings.h
@@ -65,6 +65,7 @@
     std::uint64_t maxBodyBytes = 0;
     std::uint32_t maxHeaderBytes = 0;
     std::uint32_t maxConnections = 0;
+    std::uint64_t callerMemoryBytes = 0; ///< 0: no bound.
     Milliseconds headerTimeout{0};
     Milliseconds bodyTimeout{0};
     Milliseconds idleTimeout{0};
--- a/persimmonlb/fleetnode/fleetparts.cpp
+++ b/persimmonlb/fleetnode/fleetparts.cpp
@@ -127,21 +127,6 @@
     }
 }
 
-std::shared_ptr<CallerMemory> FleetNode::Parts::makeCallerMemory()
-{
-    return std::make_shared<CallerMemory>(CallerMemoryOptions{
-        .maxBytes = settings.callerMemoryBytes,
-        .dropped = [this](CallerDrop why, std::uint64_t bytes) {
-            const char *name = why == CallerDrop::Request ? "request" : "reader";
-            metrics.count("persimmonlb_memory_drops_total", {{"what", name}});
-            LogLine(LogLevel::Warning, "caller_dropped_for_memory")
-                .add("what", name)
-                .add("bytes", static_cast<std::int64_t>(bytes))
-                .add("callers_bytes", static_cast<std::int64_t>(callerMemory->totalBytes()))
-                .write();
-        }});
-}
-
 Result<std::unique_ptr<HttpServer>> FleetNode::Parts::listen(const std::string &address,
                                                              HttpHandler handler)
 {
@@ -219,8 +204,7 @@
 void FleetNode::Parts::tick()
 {
     control.tick();
-    metrics.set("persimmonlb_caller_memory_bytes", {},
-                static_cast<double>(callerMemory->totalBytes()));
+    reportCallerMemory(*callerMemory, metrics);
     if (parent.tick()) {
         keepPeers();
         report();
--- a/persimmonlb/fleetnode/fleetsettings.h
+++ b/persimmonlb/fleetnode/fleetsettings.h
@@ -53,7 +53,10 @@
     Milliseconds stopGrace{0}; ///< From the request to stop until the process is killed.
     Milliseconds resultsKept{0}; ///< Bulk results stay readable for so long.
     CustomerSettings customers;
-    std::uint64_t callerMemoryBytes = 48ULL * 1024 * 1024; ///< 0: no bound.
+    /// For what callers send and do not read; 0: no bound. The default holds four of the largest
+    /// bodies, and twice it (handlers copy a request to send it on) beside the 18 MB of an idle
+    /// host fits into the smallest machine, of 110 MB.
+    std::uint64_t callerMemoryBytes = 32ULL * 1024 * 1024;
     LogLevel logLevel = LogLevel::Info;
 
     bool operator==(const FleetSettings &) const = default;
--- a/persimmonlb/fleetnode/internal/fleetparts.h
+++ b/persimmonlb/fleetnode/internal/fleetparts.h
@@ -14,6 +14,7 @@
 #include "persimmonlb/fleetnode/fleetnode.h"
 #include "persimmonlb/fleettree/parentchoice.h"
 #include "persimmonlb/http/client.h"
+#include "persimmonlb/http/reportedcallermemory.h"
 #include "persimmonlb/http/server.h"
 #include "persimmonlb/wire/mesh.h"
 
@@ -33,7 +34,6 @@
     Result<void> startMesh();
     Result<void> startStorage();
     Result<void> startListeners();
-    [[nodiscard]] std::shared_ptr<CallerMemory> makeCallerMemory();
     Result<std::unique_ptr<HttpServer>> listen(const std::string &address, HttpHandler handler);
     bool sendMessage(PeerMessage message, const HostId &to);
     bool send(const HostId &to, PeerBody body);
@@ -88,7 +88,8 @@
     std::unique_ptr<GatewayRole> gateway;
     std::unique_ptr<StorageRole> storage;
     std::unique_ptr<Mesh> mesh;
-    std::shared_ptr<CallerMemory> callerMemory = makeCallerMemory(); ///< Of all listeners.
+    std::shared_ptr<CallerMemory> callerMemory
+        = makeReportedCallerMemory(settings.callerMemoryBytes, metrics); ///< Of all listeners.
     std::unique_ptr<HttpServer> callers;
     std::vector<std::unique_ptr<HttpServer>> listeners;
     bool stopping = false;
