Memory of callers: hooks that throw, and bound of persimmonlbd checked

Change: relieve() can be called again after an exception; a test of the raised bound of persimmonlbd. Evidence: goesOnDroppingAfterHookThatThrows and raisesCallerMemoryToFourLargestBodies pass; http_caller_memory_test (15 cases), http_server_test (40), http_client_test (35), daemon_parts_test (21) pass.

--- a/persimmonlb/daemon/settings_test.cpp
+++ b/persimmonlb/daemon/settings_test.cpp
@@ -72,6 +72,23 @@
     BOOST_TEST(settings.mesh.peers.front().control);
 }
 
+// Guards against a bound that refuses each request of the largest size for ever.
+BOOST_AUTO_TEST_CASE(raisesCallerMemoryToFourLargestBodies)
+{
+    constexpr std::uint64_t megabyte = 1024ULL * 1024;
+    const auto memoryOf = [](const std::string &lines) {
+        std::string text = valid;
+        text.insert(text.find("[mesh]"), lines);
+        const auto outcome = capture([&] { return parseSettings(text); });
+        BOOST_REQUIRE(outcome.ok());
+        return outcome.value().entry.callerMemoryBytes;
+    };
+    BOOST_TEST(memoryOf("") == 1024 * megabyte);
+    BOOST_TEST(memoryOf("caller_memory_mb = 10\nmax_body_bytes = 1048576\n") == 10 * megabyte);
+    BOOST_TEST(memoryOf("caller_memory_mb = 3\nmax_body_bytes = 1048576\n") == 4 * megabyte);
+    BOOST_TEST(memoryOf("caller_memory_mb = 0\n") == 0);
+}
+
 BOOST_AUTO_TEST_CASE(theExampleIsValid)
 {
     std::ifstream file(std::string(PERSIMMONLB_SOURCE_DIR) + "/examples/settings.toml");
--- a/persimmonlb/http/callermemory.cpp
+++ b/persimmonlb/http/callermemory.cpp
@@ -1,5 +1,6 @@
 #include "persimmonlb/http/callermemory.h"
 
+#include <memory>
 #include <utility>
 
 namespace persimmonlb
@@ -72,6 +73,8 @@
         return;
     }
     isRelieving_ = true;
+    // Also when a hook throws, or nothing would be dropped any more.
+    const std::shared_ptr<void> end(nullptr, [this](void *) { isRelieving_ = false; });
     while (totalBytes() > options_.maxBytes) {
         const std::optional<Victim> victim = nextVictim();
         if (!victim) {
@@ -85,7 +88,6 @@
         }
         drop(victim->why);
     }
-    isRelieving_ = false;
 }
 
 std::uint64_t CallerMemory::totalBytes() const
--- a/persimmonlb/http/callermemory_test.cpp
+++ b/persimmonlb/http/callermemory_test.cpp
@@ -1,4 +1,5 @@
 #include <memory>
+#include <stdexcept>
 #include <vector>
 
 #include <boost/test/unit_test.hpp>
@@ -132,6 +133,17 @@
     BOOST_TEST(memory.totalBytes() == 0);
 }
 
+// Guards against an account that drops nobody any more after one hook has thrown.
+BOOST_AUTO_TEST_CASE(goesOnDroppingAfterHookThatThrows)
+{
+    const auto failing = memory.add([](CallerDrop) { throw std::runtime_error("hook"); });
+    memory.set(failing, unfinished(2000));
+    BOOST_CHECK_THROW(memory.relieve(), std::runtime_error);
+    const auto next = add(unfinished(2000));
+    memory.relieve();
+    BOOST_TEST(dropped == Holders{next}, boost::test_tools::per_element());
+}
+
 BOOST_AUTO_TEST_CASE(dropsNobodyWithoutBound)
 {
     CallerMemory unbounded{CallerMemoryOptions{}};
--- a/persimmonlb/http/internal/serverconnection.cpp
+++ b/persimmonlb/http/internal/serverconnection.cpp
@@ -317,7 +317,7 @@
     CallerUse use;
     use.passedOn = passedOnBytes_;
     for (const std::string &piece : output_) {
-        use.unread += sizeof(piece) + heapBytes(piece);
+        use.unread += sizeof(std::string) + heapBytes(piece);
     }
     // What is sent ahead of an answer can only be dropped with the connection.
     (phase_ == Phase::Answering ? use.unread : use.unfinished) += heapBytes(input_);
