--- a/persimmonlb/fleetnode/fleetparts.cpp
+++ b/persimmonlb/fleetnode/fleetparts.cpp
@@ -132,6 +132,8 @@
 {
     HttpServerOptions options;
     options.farewell = face.farewell;
+    options.refusal = face.refusal;
+    options.memory = callerMemory;
     return HttpServer::listen(context, address, std::move(options), std::move(handler));
 }
 
@@ -202,6 +204,7 @@
 void FleetNode::Parts::tick()
 {
     control.tick();
+    reportCallerMemory(*callerMemory, metrics);
     if (parent.tick()) {
         keepPeers();
         report();
--- a/persimmonlb/fleetnode/internal/fleetparts.h
+++ b/persimmonlb/fleetnode/internal/fleetparts.h
@@ -14,6 +14,7 @@
 #include "persimmonlb/fleetnode/fleetnode.h"
 #include "persimmonlb/fleettree/parentchoice.h"
 #include "persimmonlb/http/client.h"
+#include "persimmonlb/http/reportedcallermemory.h"
 #include "persimmonlb/http/server.h"
 #include "persimmonlb/wire/mesh.h"
 
@@ -87,6 +88,8 @@
     std::unique_ptr<GatewayRole> gateway;
     std::unique_ptr<StorageRole> storage;
     std::unique_ptr<Mesh> mesh;
+    std::shared_ptr<CallerMemory> callerMemory
+        = makeReportedCallerMemory(settings.callerMemoryBytes, metrics); ///< Of all listeners.
     std::unique_ptr<HttpServer> callers;
     std::vector<std::unique_ptr<HttpServer>> listeners;
     bool stopping = false;
