Slot broker: choose servers by learned speed and expected cached prompt, optionally

Costs are constants of one site: a slow server costs only above 1.3 of the mean hold time, and prompt parts count as cached however long ago they were sent.

With SlotBrokerOptions::learnsSpeeds, off by default, the cost of a server is the expected time to read the prompt and to complete the request, including what the request adds to the others there. Batch runs go to the least occupied servers whatever their speed. SlotUsage tells the prompt tokens granted and how many of them were expected in a cache.

The existing tests pass unchanged with the option off. slotchoice_test covers servers of unequal speed, one that becomes slow, a restart, shared parts and the number of clock reads among 400 servers.

--- a/persimmonlb/slots/slotbroker.cpp
+++ b/persimmonlb/slots/slotbroker.cpp
@@ -93,6 +93,7 @@
         server.online = 0;
         server.batch = 0;
         server.tokens = 0;
+        server.speed.clearHeld();
     }
     grantedSlots_.clear();
     for (auto &[name, service] : services_) {
@@ -186,6 +187,7 @@
     recordPromptParts(server, request);
     const MonotonicTime now = clock_.monotonic();
     server.limiter.take(now);
+    server.speed.requestGranted(now);
     grantedSlots_[Ticket{host, request.ticket}] = GrantedSlot{server.info.id, request.tokens, now};
     recordGrantTime(server, now);
     hooks_.grant(host,
@@ -239,6 +241,7 @@
         grantTimes.erase(granted);
     }
     updatePeak(server);
+    server.speed.requestReleased(held.grantedAt);
     server.online -= std::min(server.online, 1U);
     server.tokens -= std::min(server.tokens, held.tokens);
 }
@@ -249,7 +252,14 @@
         average = average == 0 ? heldMs : average + holdSmoothingWeight * (heldMs - average);
     };
     smooth(server.averageHoldMs);
-    smooth(services_[server.info.service].averageHoldMs);
+    Service &service = services_[server.info.service];
+    smooth(service.averageHoldMs);
+    if (options_.learnsSpeeds) {
+        const MonotonicTime now = clock_.monotonic();
+        const double aloneMs = heldMs / slowdown(server, occupiedSlots(server, now));
+        service.holdTime.record(aloneMs);
+        server.speed.recordHoldTime(aloneMs, now);
+    }
 }
 
 void SlotBroker::recordOutcome(Server &server, SlotOutcome outcome)
--- a/persimmonlb/slots/slotbroker.h
+++ b/persimmonlb/slots/slotbroker.h
@@ -12,7 +12,9 @@
 #include "persimmonlb/base/clock.h"
 #include "persimmonlb/base/ids.h"
 #include "persimmonlb/fleet/fleetview.h"
+#include "persimmonlb/slots/prefixcache.h"
 #include "persimmonlb/slots/requestlimiter.h"
+#include "persimmonlb/slots/serverspeed.h"
 
 namespace persimmonlb
 {
@@ -50,6 +52,9 @@
     /// a request then. If true, a server allows the first request after a random part of the
     /// interval between two.
     bool staggersFirstRequest = false;
+    /// Servers are chosen by the expected completion time of the request, from learned speeds and
+    /// from the prompt parts that each server probably still holds (docs/design/server-choice.md).
+    bool learnsSpeeds = false;
 };
 
 /// The server and the cache tokens that a batch run occupies.
@@ -89,6 +94,10 @@
     std::uint32_t servers = 0;
     std::uint32_t unusable = 0; ///< Servers that are draining or in backoff.
     std::size_t waiting = 0; ///< Queued requests.
+    /// Since the start, with learned speeds only: tokens of the named prompt parts granted, and how
+    /// many of them were expected in the cache of the chosen server.
+    std::uint64_t promptTokens = 0;
+    std::uint64_t expectedCachedTokens = 0;
 
     bool operator==(const SlotUsage &) const = default;
 };
@@ -182,6 +191,8 @@
         /// the previous one.
         std::unordered_set<std::uint64_t> recentPromptParts;
         std::unordered_set<std::uint64_t> previousPromptParts;
+        ServerSpeed speed = ServerSpeed(); ///< Used if the broker learns speeds, as `prefixes`.
+        PrefixCacheEstimate prefixes = {};
     };
     struct WaitingRequest {
         HostId host;
@@ -212,6 +223,9 @@
         /// Grant times of the held slots in ascending order. The oldest is expected to be released
         /// first, as hold times are about equal.
         std::vector<MonotonicTime> grantTimes;
+        ServiceHoldTime holdTime = {};
+        std::uint64_t promptTokens = 0; ///< As in SlotUsage.
+        double expectedCachedTokens = 0;
     };
 
     /// True if the server is neither draining nor in backoff.
@@ -227,6 +241,13 @@
     [[nodiscard]] static std::uint32_t occupiedSlots(const Server &server, MonotonicTime now);
     [[nodiscard]] static double serverCostMs(const Server &server, const SlotRequest &request,
                                              double serviceAverageHoldMs, MonotonicTime now);
+    /// Returns the expected time to the first event and to completion, as a weighted sum.
+    [[nodiscard]] static double learnedCostMs(const Server &server, const SlotRequest &request,
+                                              double meanHoldMs, MonotonicTime now);
+    /// Returns the tokens of the server's memory that running requests leave for prompt parts.
+    [[nodiscard]] static std::uint64_t prefixMemory(const Server &server);
+    /// Returns by how much requests on the server last longer than alone.
+    [[nodiscard]] static double slowdown(const Server &server, std::uint32_t requests);
     /// Returns an empty list for an unknown service.
     [[nodiscard]] const std::vector<Server *> &serversOf(const ServiceName &service) const;
     /// `isBatch`: the limit of the server must allow a whole burst.
@@ -265,7 +286,7 @@
     void updatePeak(Server &server);
     void recordOutcome(Server &server, SlotOutcome outcome);
     void recordHoldTime(Server &server, double heldMs);
-    static void recordPromptParts(Server &server, const SlotRequest &request);
+    void recordPromptParts(Server &server, const SlotRequest &request);
 
     SlotBrokerOptions options_;
     Clock clock_;
--- a/persimmonlb/slots/slotchoice.cpp
+++ b/persimmonlb/slots/slotchoice.cpp
@@ -1,5 +1,6 @@
 // The part of SlotBroker that selects servers.
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 #include "persimmonlb/slots/slotbroker.h"
@@ -21,6 +22,22 @@
 constexpr double otherZoneCostMs = 4.0;
 constexpr std::size_t maxPromptPartsPerGeneration = 1024; ///< Per server.
 
+// Of the choice by learned speeds; slottrial --uneven compares values.
+constexpr double initialMeanHoldMs = 300.0; ///< Until the first response of a service ends.
+/// A step of a full engine takes 3.6 ms per token, and of one with a single request 2.3 ms.
+constexpr double fullServerSlowdown = 0.565;
+/// Prompt tokens per ms of a server of mean speed: that of the slowest known site. The broker is
+/// told hold times only, in which reading a prompt is too small a part to learn a rate from.
+constexpr double learnedPrefillTokensPerMs = 50.0;
+/// Weight of the time until completion compared with that until the first event, which is due in
+/// 300 ms. With a weight of 1, differences in occupancy outweigh cached prompt parts and more
+/// prompt tokens are read again than without learned speeds.
+constexpr double completionWeight = 0.12;
+/// Makes the times comparable to `otherZoneCostMs`. With a factor of 1, half of the requests leave
+/// their zone on engines whose speeds differ by a factor of 2.4; with this one, as many as without
+/// learned speeds.
+constexpr double completionCostScale = 1.0 / 6;
+
 } // namespace
 
 std::uint32_t SlotBroker::slotLimit(const Server &server)
@@ -85,6 +102,44 @@
     return cost;
 }
 
+std::uint64_t SlotBroker::prefixMemory(const Server &server)
+{
+    const std::uint64_t memory = server.capacity.cacheTokens;
+    return memory == 0 ? std::numeric_limits<std::uint64_t>::max()
+                       : memory - std::min(memory, server.tokens);
+}
+
+double SlotBroker::slowdown(const Server &server, std::uint32_t requests)
+{
+    const double others = std::max(requests, 1U) - 1;
+    return 1 + fullServerSlowdown * others / std::max(slotLimit(server), 2U);
+}
+
+double SlotBroker::learnedCostMs(const Server &server, const SlotRequest &request,
+                                 double meanHoldMs, MonotonicTime now)
+{
+    const std::uint32_t occupied = occupiedSlots(server, now);
+    const double hold = server.speed.expectedHoldMs(meanHoldMs, slowdown(server, occupied), now);
+    double promptTokens = 0;
+    for (const PromptPart &part : request.prompt) {
+        promptTokens += static_cast<double>(part.tokens);
+    }
+    const double uncachedTokens
+        = promptTokens - server.prefixes.expectedTokens(request.prompt, prefixMemory(server));
+    const double nextSlowdown = slowdown(server, occupied + 1);
+    const double addedSlowdown = nextSlowdown - slowdown(server, occupied);
+    // Reading a prompt stops the other requests of the engine, and each request slows them down.
+    const double prefillMs
+        = uncachedTokens / learnedPrefillTokensPerMs * hold / meanHoldMs * (1 + occupied);
+    const double completionMs = hold * (nextSlowdown + addedSlowdown * occupied);
+    double cost = completionCostScale * (prefillMs + completionWeight * completionMs);
+    if (!request.availabilityZone.empty()
+        && server.info.availabilityZone != request.availabilityZone) {
+        cost += otherZoneCostMs;
+    }
+    return cost;
+}
+
 const std::vector<SlotBroker::Server *> &SlotBroker::serversOf(const ServiceName &service) const
 {
     static const std::vector<Server *> noServers;
@@ -98,8 +153,12 @@
     double lowest = 0;
     std::uint64_t equalCount = 0;
     const auto service = services_.find(request.service);
+    // With learned speeds, batch runs go to the least occupied servers whatever their speed: on the
+    // fastest ones they would take the slots that online requests gain most from.
     const double serviceAverageHoldMs
-        = service == services_.end() ? 0 : service->second.averageHoldMs;
+        = service == services_.end() || options_.learnsSpeeds ? 0 : service->second.averageHoldMs;
+    const double learnedMeanMs = service == services_.end() ? 0 : service->second.holdTime.meanMs();
+    const double meanHoldMs = learnedMeanMs > 0 ? learnedMeanMs : initialMeanHoldMs;
     const MonotonicTime now = clock_.monotonic();
     for (Server *candidate : serversOf(request.service)) {
         Server &server = *candidate;
@@ -107,7 +166,9 @@
             || std::ranges::find(request.excluded, server.info.id) != request.excluded.end()) {
             continue;
         }
-        const double cost = serverCostMs(server, request, serviceAverageHoldMs, now);
+        const double cost = options_.learnsSpeeds && !isBatch
+            ? learnedCostMs(server, request, meanHoldMs, now)
+            : serverCostMs(server, request, serviceAverageHoldMs, now);
         if (best != nullptr && cost > lowest) {
             continue;
         }
@@ -124,6 +185,16 @@
 
 void SlotBroker::recordPromptParts(Server &server, const SlotRequest &request)
 {
+    if (options_.learnsSpeeds) {
+        Service &service = services_[server.info.service];
+        for (const PromptPart &part : request.prompt) {
+            service.promptTokens += part.tokens;
+        }
+        const std::uint64_t memory = prefixMemory(server);
+        service.expectedCachedTokens += server.prefixes.expectedTokens(request.prompt, memory);
+        server.prefixes.recordPrompt(request.prompt, memory);
+        return;
+    }
     for (const PromptPart &part : request.prompt) {
         server.recentPromptParts.insert(part.key);
     }
@@ -177,6 +248,10 @@
         usage.orphaned += orphanedRequestsOn(*server, now);
     }
     usage.waiting = waiting(service);
+    if (const auto known = services_.find(service); known != services_.end()) {
+        usage.promptTokens = known->second.promptTokens;
+        usage.expectedCachedTokens = static_cast<std::uint64_t>(known->second.expectedCachedTokens);
+    }
     return usage;
 }
 
