Trial: engines of unequal speed and the choice by learned speeds

The trial had engines of one speed, unlimited memory and prompts that callers do not name, so it could not tell choices of servers apart.

The broker with learned speeds is a further variant.

slot_trial_test: with learned speeds the 99th percentiles of the first and last event fall on uneven engines, and no more prompt tokens are read again; the objective is kept on even engines.

--- a/persimmonlb/testing/enginemodel.cpp
+++ b/persimmonlb/testing/enginemodel.cpp
@@ -27,6 +27,15 @@
 {
 }
 
+void PrefixCache::setCapacity(std::size_t capacity)
+{
+    capacity_ = capacity;
+    while (blocks_.size() > capacity_) {
+        blocks_.erase(order_.back());
+        order_.pop_back();
+    }
+}
+
 std::uint32_t PrefixCache::use(std::string_view prompt)
 {
     std::uint32_t cachedBlocks = 0;
@@ -96,6 +105,20 @@
     return options_.tokenTime + growth + prefill;
 }
 
+void EngineModel::fitCache()
+{
+    if (options_.memoryTokens == 0) {
+        return;
+    }
+    std::uint64_t used = 0;
+    for (const Entry &entry : running_) {
+        used += tokensOf(entry.prompt)
+            + static_cast<std::uint64_t>(entry.next) * options_.tokensPerStep;
+    }
+    const std::uint64_t left = options_.memoryTokens - std::min(options_.memoryTokens, used);
+    cache_.setCapacity(left / tokensPerBlock);
+}
+
 Microseconds EngineModel::admit()
 {
     Microseconds prefill{0};
@@ -103,6 +126,7 @@
         running_.push_back(std::move(waiting_.front()));
         waiting_.pop_front();
         const Entry &entry = running_.back();
+        fitCache();
         const std::uint32_t prompt = tokensOf(entry.prompt);
         const std::uint32_t cached = std::min(cache_.use(entry.prompt), prompt);
         counts_.promptTokens += prompt;
--- a/persimmonlb/testing/enginemodel.h
+++ b/persimmonlb/testing/enginemodel.h
@@ -24,6 +24,9 @@
 public:
     explicit PrefixCache(std::size_t capacity);
 
+    /// Evicts blocks beyond the capacity.
+    void setCapacity(std::size_t capacity);
+
     /// Tokens at the start of `prompt` that need no prefill. All of its blocks are held afterwards,
     /// as far as the capacity goes.
     std::uint32_t use(std::string_view prompt);
@@ -42,6 +45,9 @@
     Microseconds prefillPerToken{100};
     std::size_t cacheBlocks = 4096; ///< Prompt blocks that the prefix cache holds.
     Milliseconds loadLag{0}; ///< Age of the load that load() tells.
+    /// Memory shared by running requests and cached blocks; 0: the cache holds `cacheBlocks`.
+    std::uint64_t memoryTokens = 0;
+    std::uint32_t tokensPerStep = 1; ///< Of each running request, for `memoryTokens`.
 };
 
 using EngineRequestId = std::uint64_t;
@@ -119,6 +125,8 @@
     };
 
     Microseconds admit();
+    /// Leaves the cache the memory that running requests do not need.
+    void fitCache();
 
     EngineOptions options_;
     std::function<void(EngineRequestId)> admitted_;
--- a/persimmonlb/testing/enginemodel_test.cpp
+++ b/persimmonlb/testing/enginemodel_test.cpp
@@ -95,6 +95,25 @@
     BOOST_TEST((model.load(start + Milliseconds(100)) == EngineLoad{0, 1}));
 }
 
+/// Deployment U: a prompt is evicted when the running requests need the memory.
+BOOST_AUTO_TEST_CASE(runningRequestsTakeMemoryFromCachedPrompts)
+{
+    EngineOptions options = smallEngine();
+    options.memoryTokens = 128;
+    EngineModel model(options, ignoreAdmission);
+    const auto run = [&model](EngineRequestId id, const std::string &prompt) {
+        model.submit(id, prompt, 0, 1);
+        model.beginStep();
+        model.endStep();
+        return model.counts().cachedTokens;
+    };
+    const std::string prompt(32 * engineBytesPerToken, 'a');
+    run(1, prompt);
+    BOOST_TEST(run(2, prompt) == 32U);
+    run(3, std::string(112 * engineBytesPerToken, 'b'));
+    BOOST_TEST(run(4, prompt) == 32U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace persimmonlb
--- a/persimmonlb/testing/trial/brokerscheduler.cpp
+++ b/persimmonlb/testing/trial/brokerscheduler.cpp
@@ -33,7 +33,7 @@
 class BrokerScheduler : public std::enable_shared_from_this<BrokerScheduler>
 {
 public:
-    explicit BrokerScheduler(SchedulerWorld world);
+    BrokerScheduler(SchedulerWorld world, const SlotBrokerOptions &options);
 
     void begin()
     {
@@ -108,11 +108,11 @@
     std::uint64_t nextJob_ = 1;
 };
 
-BrokerScheduler::BrokerScheduler(SchedulerWorld world)
+BrokerScheduler::BrokerScheduler(SchedulerWorld world, const SlotBrokerOptions &options)
     : world_(std::move(world))
     , clock_(world_.time.clock())
     , routes_(testing::batchRoutes(engine))
-    , broker_(SlotBrokerOptions{}, clock_, world_.random, brokerHooks())
+    , broker_(options, clock_, world_.random, brokerHooks())
     , crashes_(CrashLedgerOptions{}, clock_)
     , runner_(BulkRunnerOptions{}, clock_, broker_, crashes_, metrics_, runnerHooks())
 {
@@ -240,6 +240,8 @@
     request.giveUpAfterMs
         = static_cast<std::uint64_t>((attempt.callerWaits - firstEventAllowance()).count());
     request.cameBack = attempt.cameBack;
+    request.prompt = attempt.promptParts;
+    request.availabilityZone = attempt.availabilityZone;
     request.tokens = attempt.prompt.size() / engineBytesPerToken + attempt.events * tokensPerEvent;
     world_.time.after(world_.hop, [this, request, entry = entryName(attempt.entry)] {
         const Stopwatch watch(cost.deciding);
@@ -310,11 +312,13 @@
         server.service = engine;
         server.address = std::to_string(i);
         server.slots = world_.fleet.slots();
+        server.availabilityZone = world_.fleet.zoneOf(i);
         usable.insert(server.id);
         servers.push_back(std::move(server));
     }
     broker_.setServers(servers, [this](const ServiceName &) {
-        return SlotCapacity{.slots = world_.fleet.slots(), .cacheTokens = 0};
+        return SlotCapacity{.slots = world_.fleet.slots(),
+                            .cacheTokens = world_.fleet.memoryTokens()};
     });
     runner_.endRunsExceptOn(usable);
 }
@@ -330,7 +334,14 @@
 
 Scheduler makeBrokerScheduler(SchedulerWorld world)
 {
-    return schedulerOf(std::make_shared<BrokerScheduler>(std::move(world)));
+    return schedulerOf(std::make_shared<BrokerScheduler>(std::move(world), SlotBrokerOptions{}));
+}
+
+Scheduler makeLearningBrokerScheduler(SchedulerWorld world)
+{
+    SlotBrokerOptions options;
+    options.learnsSpeeds = true;
+    return schedulerOf(std::make_shared<BrokerScheduler>(std::move(world), options));
 }
 
 } // namespace persimmonlb::trial
--- a/persimmonlb/testing/trial/fleetmodel.cpp
+++ b/persimmonlb/testing/trial/fleetmodel.cpp
@@ -6,16 +6,31 @@
 {
 
 FleetModel::FleetModel(FleetModelOptions options, VirtualTime &time)
-    : options_(options)
+    : options_(std::move(options))
     , time_(time)
 {
     for (std::size_t i = 0; i < options_.servers; ++i) {
         Server server;
-        server.engine = std::make_unique<EngineModel>(options_.engine, [](EngineRequestId) {});
+        server.engine = makeEngine(i);
         servers_.push_back(std::move(server));
     }
 }
 
+std::unique_ptr<EngineModel> FleetModel::makeEngine(std::size_t server) const
+{
+    EngineOptions engine = options_.engine;
+    if (!options_.speeds.empty()) {
+        const double speed = options_.speeds[server % options_.speeds.size()];
+        const auto slower = [speed](Microseconds time) {
+            return Microseconds(
+                static_cast<std::int64_t>(static_cast<double>(time.count()) / speed));
+        };
+        engine.tokenTime = slower(engine.tokenTime);
+        engine.prefillPerToken = slower(engine.prefillPerToken);
+    }
+    return std::make_unique<EngineModel>(engine, [](EngineRequestId) {});
+}
+
 std::uint64_t FleetModel::start(std::size_t server, std::string prompt, std::uint32_t first,
                                 std::uint32_t events, RunHooks hooks)
 {
@@ -46,7 +61,10 @@
         return;
     }
     server.stepping = true;
-    time_.after(server.engine->beginStep(), [this, number, life = server.life] {
+    const Microseconds alike = server.engine->beginStep();
+    const Microseconds length(
+        static_cast<std::int64_t>(static_cast<double>(alike.count()) * server.slowdown));
+    time_.after(length, [this, number, life = server.life] {
         Server &stepped = servers_[number];
         if (stepped.life != life) {
             return;
@@ -94,7 +112,7 @@
     }
     ++server.life;
     server.stepping = false;
-    server.engine = std::make_unique<EngineModel>(options_.engine, [](EngineRequestId) {});
+    server.engine = makeEngine(number);
     std::vector<RunHooks> lost;
     for (auto run = runs_.begin(); run != runs_.end();) {
         if (run->second.server != number) {
@@ -109,6 +127,16 @@
     }
 }
 
+void FleetModel::setSlowdown(std::size_t server, double factor)
+{
+    servers_[server].slowdown = factor;
+}
+
+std::uint64_t FleetModel::memoryTokens() const
+{
+    return options_.engine.memoryTokens;
+}
+
 bool FleetModel::isUp(std::size_t server) const
 {
     return servers_[server].up;
@@ -119,6 +147,18 @@
     return servers_.size();
 }
 
+AvailabilityZone FleetModel::zoneOf(std::size_t server) const
+{
+    return options_.zones == 0
+        ? AvailabilityZone()
+        : AvailabilityZone{std::to_string(server * options_.zones / servers_.size())};
+}
+
+std::size_t FleetModel::zones() const
+{
+    return options_.zones;
+}
+
 std::uint32_t FleetModel::slots() const
 {
     return options_.engine.slots;
--- a/persimmonlb/testing/trial/scheduler.h
+++ b/persimmonlb/testing/trial/scheduler.h
@@ -27,6 +27,9 @@
     bool cameBack = false; ///< Was refused before.
     std::string prompt;
     std::uint32_t events = 0;
+    /// As the caller names them; empty: not named.
+    std::vector<PromptPart> promptParts = {};
+    AvailabilityZone availabilityZone = {}; ///< Of the entry host; empty: none.
 
     bool operator==(const Attempt &) const = default;
 };
@@ -137,6 +140,8 @@
 
 /// The product's slot broker and bulk runner, in one leader.
 Scheduler makeBrokerScheduler(SchedulerWorld world);
+/// The same with learned speeds (SlotBrokerOptions::learnsSpeeds).
+Scheduler makeLearningBrokerScheduler(SchedulerWorld world);
 
 /// How entry hosts choose without a broker.
 struct ViewOptions {
--- a/persimmonlb/testing/trial/slottrial_test.cpp
+++ b/persimmonlb/testing/trial/slottrial_test.cpp
@@ -81,4 +81,49 @@
     }
 }
 
+/// Engines of unequal speed: the broker that learns speeds must not pay for a shorter tail with
+/// prompt tokens that are read again, or with late requests.
+BOOST_AUTO_TEST_CASE(LearnedSpeedsShortenTheTailOfUnevenEngines)
+{
+    TrialLoad load;
+    load.unevenEngines = true;
+    load.onlinePerSecond = 54.3;
+    load.onlineEvents = 25;
+    load.jobsPerSecond = 0.0514;
+    TrialLoad slow = load;
+    slow.serversSlow = 2;
+    for (const TrialLoad &each : {load, slow}) {
+        TrialReport present;
+        TrialReport learned;
+        const auto play = [&each](TrialReport &sum, auto make) {
+            for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+                const TrialReport report = playTrial(each, seed, make);
+                sum.firstEventP99Ms += report.firstEventP99Ms;
+                sum.completionP99Ms += report.completionP99Ms;
+                sum.late += report.late;
+                sum.cachedTokens += report.cachedTokens;
+            }
+        };
+        play(present, makeBrokerScheduler);
+        play(learned, makeLearningBrokerScheduler);
+        BOOST_TEST(learned.firstEventP99Ms < present.firstEventP99Ms);
+        BOOST_TEST(learned.completionP99Ms < present.completionP99Ms);
+        BOOST_TEST(learned.late <= present.late);
+        BOOST_TEST(learned.cachedTokens >= present.cachedTokens);
+    }
+}
+
+/// The earlier sites have engines of one speed: there the learned choice must meet the same goal.
+BOOST_AUTO_TEST_CASE(LearnedSpeedsKeepTheObjectiveOnEvenEngines)
+{
+    for (const TrialLoad &load : {usual(31, 216), usual(36, 247)}) {
+        for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+            const TrialReport report = playTrial(load, seed, makeLearningBrokerScheduler);
+            BOOST_TEST(report.firstEventP99Ms <= objectiveMs);
+            BOOST_TEST(report.served == report.asked);
+            BOOST_TEST(report.pauses == 0U);
+        }
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/persimmonlb/testing/trial/trial.cpp
+++ b/persimmonlb/testing/trial/trial.cpp
@@ -3,8 +3,10 @@
 #include <algorithm>
 #include <map>
 #include <memory>
+#include <set>
 #include <utility>
 
+#include "persimmonlb/base/digest.h"
 #include "persimmonlb/testing/arrivals.h"
 
 namespace persimmonlb::trial
@@ -22,6 +24,11 @@
 constexpr std::size_t secondParts = 459;
 constexpr std::size_t partTokens = 100;
 constexpr std::size_t ownTokens = 250;
+// Deployment U: events of four tokens.
+constexpr Microseconds unevenEventTime{9200};
+constexpr Microseconds unevenPrefillPerToken{20};
+constexpr std::uint64_t unevenMemoryTokens = 72000;
+constexpr std::uint32_t unevenTokensPerEvent = 4;
 constexpr double lowShare = 0.377; ///< Of the average rate, between bursts.
 constexpr double burstFactor = 1.84 / lowShare;
 constexpr Milliseconds burstEvery{6600};
@@ -72,6 +79,7 @@
     void scheduleOnline(PoissonArrivals &arrivals);
     void scheduleJobs(PoissonArrivals &arrivals, Microseconds from, Microseconds until);
     void scheduleLoss();
+    void scheduleSlowServers();
     void ask(Request request);
     void send(std::uint64_t number, std::size_t server);
     void eventArrived(std::uint64_t number, std::size_t server, bool last);
@@ -93,18 +101,29 @@
     FleetModel fleet_;
     Scheduler scheduler_;
     LatencyHistogram firstEvents_;
+    LatencyHistogram completions_;
+    std::set<std::uint64_t> sharedParts_; ///< Sent so far.
     TrialReport report_;
     std::map<std::uint64_t, Request> open_;
     std::map<std::uint64_t, MonotonicTime> itemsDue_;
     std::uint64_t nextNumber_ = 1;
 };
 
-FleetModelOptions fleetOptions()
+FleetModelOptions fleetOptions(const TrialLoad &load)
 {
     FleetModelOptions options;
     options.engine.slots = engineSlots;
     options.engine.tokenTime = eventTime;
     options.engine.prefillPerToken = prefillPerToken;
+    options.servers = load.servers;
+    if (load.unevenEngines) {
+        options.engine.tokenTime = unevenEventTime;
+        options.engine.prefillPerToken = unevenPrefillPerToken;
+        options.engine.memoryTokens = unevenMemoryTokens;
+        options.engine.tokensPerStep = unevenTokensPerEvent;
+        options.speeds = {0.7, 0.7, 1.7};
+        options.zones = 3;
+    }
     return options;
 }
 
@@ -112,7 +131,7 @@
              const std::function<Scheduler(SchedulerWorld)> &makeScheduler)
     : load_(load)
     , random_(seededRandom(seed))
-    , fleet_(fleetOptions(), time_)
+    , fleet_(fleetOptions(load), time_)
 {
     Decisions decisions;
     decisions.send = [this](std::uint64_t number, std::size_t server) {
@@ -154,8 +173,24 @@
         request.attempt.entry = random_() % entryHosts;
         request.attempt.objective = objective;
         request.attempt.events = spread(load_.onlineEvents);
-        request.attempt.prompt = tokensOf(1 + random_() % firstParts, partTokens)
-            + tokensOf(100 + random_() % secondParts, partTokens) + tokensOf(random_(), ownTokens);
+        const std::uint64_t own = random_();
+        const std::uint64_t second = 100 + random_() % secondParts;
+        const std::uint64_t first = 1 + random_() % firstParts;
+        const std::size_t shared = partTokens * load_.longParts;
+        report_.newPromptTokens += ownTokens;
+        for (const std::uint64_t part : {first, combineHash(first, second)}) {
+            report_.newPromptTokens += sharedParts_.insert(part).second ? shared : 0;
+        }
+        request.attempt.prompt
+            = tokensOf(first, shared) + tokensOf(second, shared) + tokensOf(own, ownTokens);
+        if (load_.unevenEngines) {
+            request.attempt.availabilityZone
+                = AvailabilityZone{std::to_string(request.attempt.entry % fleet_.zones())};
+            request.attempt.promptParts
+                = {{first, shared},
+                   {combineHash(first, second), shared},
+                   {combineHash(combineHash(first, second), own), ownTokens}};
+        }
         time_.after(at, [this, request = std::move(request)]() mutable {
             ++report_.asked;
             request.firstAskedAt = now();
@@ -177,6 +212,7 @@
         std::vector<std::pair<std::uint64_t, BatchItem>> items;
         const std::uint32_t count = spread(static_cast<std::uint32_t>(itemsPerJob));
         for (std::uint32_t i = 0; i < count; ++i) {
+            report_.newPromptTokens += ownTokens;
             items.emplace_back(nextNumber_++,
                                BatchItem{.prompt = tokensOf(1 + random_() % 10, partTokens)
                                              + tokensOf(random_(), ownTokens),
@@ -204,6 +240,16 @@
     }
 }
 
+void Trial::scheduleSlowServers()
+{
+    // From the last on: the first ones are those that `serversLost` takes away.
+    for (std::size_t i = 1; i <= load_.serversSlow; ++i) {
+        const std::size_t server = fleet_.size() - i;
+        time_.after(load_.lossAt, [this, server] { fleet_.setSlowdown(server, load_.slowFactor); });
+        time_.after(load_.lossAt + lossLength, [this, server] { fleet_.setSlowdown(server, 1); });
+    }
+}
+
 void Trial::ask(Request request)
 {
     request.askedAt = now();
@@ -220,6 +266,7 @@
 void Trial::send(std::uint64_t number, std::size_t server)
 {
     Request &request = open_.at(number);
+    report_.otherZone += request.attempt.availabilityZone != fleet_.zoneOf(server) ? 1 : 0;
     RunHooks hooks;
     hooks.event = [this, number, server](std::uint32_t, bool last) {
         eventArrived(number, server, last);
@@ -243,6 +290,7 @@
         request.begun = true;
         const auto sinceFirst = seen - request.firstAskedAt;
         firstEvents_.add(sinceFirst);
+        report_.late += sinceFirst > objective ? 1 : 0;
         report_.onTime += sinceFirst <= objective ? 1 : 0;
         report_.onTimeAfterRefusal
             += sinceFirst > objective && seen - request.askedAt <= objective ? 1 : 0;
@@ -254,6 +302,7 @@
     if (!last) {
         return;
     }
+    completions_.add(seen - request.firstAskedAt);
     ++report_.served;
     report_.cameBackServed += request.visits > 1 ? 1 : 0;
     open_.erase(number);
@@ -323,10 +372,13 @@
         scheduleJobs(more, load_.jumpAt, load_.jumpAt + batchJumpLength);
     }
     scheduleLoss();
+    scheduleSlowServers();
     sample();
     time_.run(load_.length + drainTime);
     report_.promptTokens = fleet_.promptTokens();
     report_.cachedTokens = fleet_.cachedTokens();
+    report_.completionP50Ms = completions_.quantileMs(0.5);
+    report_.completionP99Ms = completions_.quantileMs(0.99);
     report_.firstEventP50Ms = firstEvents_.quantileMs(0.5);
     report_.firstEventP99Ms = firstEvents_.quantileMs(0.99);
     report_.cost = scheduler_.cost();
--- a/persimmonlb/testing/trial/trial.h
+++ b/persimmonlb/testing/trial/trial.h
@@ -25,6 +25,11 @@
     Milliseconds jumpAt{20000};
     std::size_t serversLost = 0; ///< From `lossAt` on, for 6 s.
     Milliseconds lossAt{22000};
+    std::size_t servers = 9;
+    bool unevenEngines = false; ///< Engines and prompts as on deployment U.
+    std::size_t serversSlow = 0; ///< Slower by `slowFactor` from `lossAt` on, for 6 s.
+    double slowFactor = 6;
+    std::size_t longParts = 1; ///< Factor of the size of shared prompt parts.
 
     bool operator==(const TrialLoad &) const = default;
 };
@@ -46,6 +51,11 @@
     double batchSlotSeconds = 0;
     std::uint64_t promptTokens = 0;
     std::uint64_t cachedTokens = 0;
+    std::uint64_t late = 0; ///< First event after the objective of the first attempt.
+    std::uint64_t otherZone = 0; ///< Sent to a server outside the zone of the entry host.
+    std::uint64_t newPromptTokens = 0; ///< Shared parts counted once. The rest is read again.
+    double completionP50Ms = 0; ///< Last event after the first attempt.
+    double completionP99Ms = 0;
     double firstEventP50Ms = 0;
     double firstEventP99Ms = 0;
     SchedulerCost cost;
