--- a/persimmonlb/fleetnode/fleetsettings.cpp
+++ b/persimmonlb/fleetnode/fleetsettings.cpp
@@ -193,6 +193,8 @@
     settings.stopGrace = reader.seconds("fleet.stop_grace_s");
     settings.resultsKept = reader.seconds("fleet.results_kept_s");
     settings.customers = readCustomers(table, reader);
+    settings.learnsServerSpeeds
+        = table.at_path("scheduling.learned_costs") && reader.flag("scheduling.learned_costs");
     const std::string level = reader.text("log.level");
     const auto found = std::ranges::find(levels, level);
     if (found == levels.end()) {
--- a/persimmonlb/fleetnode/fleetsettings.h
+++ b/persimmonlb/fleetnode/fleetsettings.h
@@ -53,6 +53,7 @@
     Milliseconds stopGrace{0}; ///< From the request to stop until the process is killed.
     Milliseconds resultsKept{0}; ///< Bulk results stay readable for so long.
     CustomerSettings customers;
+    bool learnsServerSpeeds = false; ///< Servers are chosen by learned speeds and cached prompts.
     LogLevel logLevel = LogLevel::Info;
 
     bool operator==(const FleetSettings &) const = default;
--- a/persimmonlb/fleetnode/storageleading.cpp
+++ b/persimmonlb/fleetnode/storageleading.cpp
@@ -432,39 +432,6 @@
     }
 }
 
-void StorageRole::logUsage()
-{
-    std::size_t waitingItems = 0;
-    std::size_t lateItems = 0;
-    for (const auto &[id, job] : control_->state()->bulk().jobs()) {
-        if (!job.isOpen()) {
-            continue;
-        }
-        const auto waiting = static_cast<std::size_t>(std::ranges::count(
-            job.items, BulkItemPhase::Waiting, [](const BulkItem &item) { return item.phase; }));
-        waitingItems += waiting;
-        lateItems += job.dueAt < deps_.clock.wall() ? waiting : 0;
-    }
-    for (const ServiceName &service : broker_.services()) {
-        const SlotUsage usage = broker_.usage(service);
-        if (usage.online + usage.batch + usage.orphaned + usage.waiting == 0) {
-            continue;
-        }
-        LogLine(LogLevel::Info, "slots_used")
-            .add("service", service.value)
-            .add("slots", static_cast<std::int64_t>(usage.slots))
-            .add("online", static_cast<std::int64_t>(usage.online))
-            .add("batch", static_cast<std::int64_t>(usage.batch))
-            .add("foreign", static_cast<std::int64_t>(usage.orphaned))
-            .add("waiting", static_cast<std::int64_t>(usage.waiting))
-            .add("servers", static_cast<std::int64_t>(usage.servers))
-            .add("unusable", static_cast<std::int64_t>(usage.unusable))
-            .add("open_items", static_cast<std::int64_t>(waitingItems))
-            .add("late_items", static_cast<std::int64_t>(lateItems))
-            .write();
-    }
-}
-
 // ---- retiring -----------------------------------------------------------------------------------
 
 bool StorageRole::isKnownStore(const std::string &name) const
--- a/persimmonlb/fleetnode/storagerole.cpp
+++ b/persimmonlb/fleetnode/storagerole.cpp
@@ -35,8 +35,9 @@
     , feed_(ViewFeedOptions{}, deps_.clock, feedHooks())
     , care_(GroupCareOptions{.lossesBorne = deps_.settings.lossesBorne}, deps_.clock)
     , quotas_(deps_.settings.customers.quotas, deps_.clock)
-    , broker_(SlotBrokerOptions{.availabilityZone = deps_.settings.availabilityZone}, deps_.clock,
-              deps_.random, brokerHooks())
+    , broker_(SlotBrokerOptions{.availabilityZone = deps_.settings.availabilityZone,
+                                .learnsSpeeds = deps_.settings.learnsServerSpeeds},
+              deps_.clock, deps_.random, brokerHooks())
     , crashes_(CrashLedgerOptions{}, deps_.clock)
     , runner_(BulkRunnerOptions{}, deps_.clock, broker_, crashes_, deps_.metrics, runnerHooks())
     , inspector_(EngineInspectorOptions{}, deps_.clock, deps_.metrics, inspectorHooks())
@@ -411,4 +412,39 @@
         .write();
 }
 
+void StorageRole::logUsage()
+{
+    std::size_t waitingItems = 0;
+    std::size_t lateItems = 0;
+    for (const auto &[id, job] : control_->state()->bulk().jobs()) {
+        if (!job.isOpen()) {
+            continue;
+        }
+        const auto waiting = static_cast<std::size_t>(std::ranges::count(
+            job.items, BulkItemPhase::Waiting, [](const BulkItem &item) { return item.phase; }));
+        waitingItems += waiting;
+        lateItems += job.dueAt < deps_.clock.wall() ? waiting : 0;
+    }
+    for (const ServiceName &service : broker_.services()) {
+        const SlotUsage usage = broker_.usage(service);
+        if (usage.online + usage.batch + usage.orphaned + usage.waiting == 0) {
+            continue;
+        }
+        LogLine(LogLevel::Info, "slots_used")
+            .add("service", service.value)
+            .add("slots", static_cast<std::int64_t>(usage.slots))
+            .add("online", static_cast<std::int64_t>(usage.online))
+            .add("batch", static_cast<std::int64_t>(usage.batch))
+            .add("foreign", static_cast<std::int64_t>(usage.orphaned))
+            .add("waiting", static_cast<std::int64_t>(usage.waiting))
+            .add("servers", static_cast<std::int64_t>(usage.servers))
+            .add("unusable", static_cast<std::int64_t>(usage.unusable))
+            .add("prompt_tokens", static_cast<std::int64_t>(usage.promptTokens))
+            .add("expected_cached_tokens", static_cast<std::int64_t>(usage.expectedCachedTokens))
+            .add("open_items", static_cast<std::int64_t>(waitingItems))
+            .add("late_items", static_cast<std::int64_t>(lateItems))
+            .write();
+    }
+}
+
 } // namespace persimmonlb
