--- a/persimmonlb/fleetnode/fleetsettings.cpp
+++ b/persimmonlb/fleetnode/fleetsettings.cpp
@@ -204,6 +204,8 @@
     settings.resultsKept = reader.seconds("fleet.results_kept_s");
     settings.customers = readCustomers(table, reader);
     settings.callerMemoryBytes = readCallerMemory(reader, settings.callerMemoryBytes);
+    settings.learnsServerSpeeds
+        = table.at_path("scheduling.learned_costs") && reader.flag("scheduling.learned_costs");
     const std::string level = reader.text("log.level");
     const auto found = std::ranges::find(levels, level);
     if (found == levels.end()) {
