HTTP client: test of responses without length that are cut during a long upload

A server answers a long upload at once with a 200 without length and ends the connection while the request is still being written. The write that fails takes the error of the connection, the next read sees an end of file, and the exchange ends as complete.

--- a/persimmonlb/http/client_test.cpp
+++ b/persimmonlb/http/client_test.cpp
@@ -125,6 +125,27 @@
      ResultCode::StreamBroken, "a"},
 };
 
+/// Ways in which the connection of a response without length ends while its request is long.
+struct LongUpload {
+    const char *name;
+    bool readOn; ///< The server reads the whole request before it ends the connection.
+    void (RawPeer::*endConnection)();
+    ResultCode code;
+};
+
+std::ostream &operator<<(std::ostream &out, const LongUpload &upload)
+{
+    return out << upload.name;
+}
+
+const std::vector<LongUpload> longUploads = {
+    {"reset during the upload", false, &RawPeer::reset, ResultCode::StreamBroken},
+    {"closed with unread input", false, &RawPeer::close, ResultCode::StreamBroken},
+    {"end of file during the upload", false, &RawPeer::closeSending, ResultCode::StreamBroken},
+    {"reset after the upload", true, &RawPeer::reset, ResultCode::StreamBroken},
+    {"closed after the upload", true, &RawPeer::close, ResultCode::Ok},
+};
+
 } // namespace clienttest
 
 using namespace clienttest;
@@ -392,6 +413,30 @@
     fixture.server.connection(1);
 }
 
+/// Guards against a cut response that counts as whole: a failed write of the request takes the
+/// error of the connection, and the next read then sees an orderly end of file.
+BOOST_DATA_TEST_CASE(responseWithoutLengthIsCutIfItsConnectionEndsDuringTheUpload,
+                     data::make(longUploads), upload)
+{
+    Fixture fixture;
+    Recorder recorder;
+    constexpr std::size_t size = 64UL * 1024 * 1024; // More than the kernel buffers.
+    recorder.exchange
+        = fixture.client->start(fixture.server.address(), Fixture::request(std::string(size, 'x')),
+                                Milliseconds(0), recorder.hooks());
+    RawPeer &peer = fixture.server.connection(0);
+    peer.send("HTTP/1.1 200 OK\r\n\r\nabc");
+    BOOST_TEST(runUntil(fixture.context, [&] { return recorder.body == "abc"; }));
+    if (upload.readOn) {
+        BOOST_TEST(runUntil(fixture.context, [&] { return peer.received().size() > size; }));
+    }
+    (peer.*upload.endConnection)();
+    const HttpExchangeEnd end = fixture.endOf(recorder);
+    BOOST_TEST((end.code == upload.code), "ended with " << describe(end.code).name);
+    BOOST_TEST((end.sendState == SendState::Sent));
+    BOOST_TEST(recorder.body == "abc");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace persimmonlb
