HTTP client: a response without length is cut if a write failed or the request was not written

Cause: the kernel reports the error of a connection once. When a write of the request took it, the read that followed saw an orderly end of file, and a response without length counted as complete.

The exchange now keeps the error of a failed write, asks for a pending error of the socket at the end of file, and takes the response as cut if there is one or if the request was not wholly written: a server that ends its process then looks the same as one that has finished.

--- a/persimmonlb/http/client.h
+++ b/persimmonlb/http/client.h
@@ -70,8 +70,8 @@
 /// HTTP/1.1 client with a pool of kept-alive connections per address. A pooled connection that
 /// turns out closed before any answer byte counts as Sent: this module never resends by itself.
 /// An answer without length and chunks ends with its connection: it is Ok if that is closed in
-/// order, and not if it is reset. A server that ends its process in the middle of such an answer
-/// may close in order.
+/// order after the whole request was written, and not if an error was seen on writing or reading.
+/// A server that ends its process in the middle of such an answer may close in order.
 ///
 /// Request fields that frame a message or belong to one connection (Content-Length, Connection,
 /// Transfer-Encoding, ...) are left out and written anew. The io_context must outlive the client
--- a/persimmonlb/http/internal/clientexchange.cpp
+++ b/persimmonlb/http/internal/clientexchange.cpp
@@ -200,7 +200,9 @@
 void ClientExchange::writeFailed(const ErrorCode &error)
 {
     if (written_ > 0) {
-        // The server may have answered before it closed: the reading side decides.
+        // The server may have answered before it closed: the reading side decides. It may see an
+        // orderly end of file, because the kernel reports the error of a connection only once.
+        writeError_ = error;
         awaitInput();
         return;
     }
@@ -313,13 +315,36 @@
 
 void ClientExchange::inputEnded(const ErrorCode &error)
 {
-    if (headDelivered_ && error == asio::error::eof && parser_->need_eof()) {
-        // An answer without length or chunks ends with its connection, unless that is reset.
-        end(ResultCode::Ok, {});
+    if (error != asio::error::eof) {
+        broken(error.message());
         return;
     }
-    broken(error == asio::error::eof ? std::string("the server closed the connection")
-                                     : error.message());
+    if (!headDelivered_ || !parser_->need_eof()) {
+        broken("the server closed the connection");
+        return;
+    }
+    if (const ErrorCode failure = connectionError()) {
+        broken(failure.message());
+        return;
+    }
+    if (!requestWritten()) {
+        // A server that ends its process looks the same as one that has said all it wants to say.
+        broken("the server closed the connection before it had the whole request");
+        return;
+    }
+    end(ResultCode::Ok, {});
+}
+
+/// The error that a write met, or that the kernel has not reported yet.
+ClientExchange::ErrorCode ClientExchange::connectionError()
+{
+    if (writeError_) {
+        return writeError_;
+    }
+    asio::detail::socket_option::integer<SOL_SOCKET, SO_ERROR> pending;
+    ErrorCode error;
+    socket_.get_option(pending, error);
+    return error ? error : ErrorCode(pending.value(), boost::system::system_category());
 }
 
 void ClientExchange::broken(const std::string &message)
--- a/persimmonlb/http/internal/clientexchange.h
+++ b/persimmonlb/http/internal/clientexchange.h
@@ -76,6 +76,7 @@
     void resetParser();
 
     [[nodiscard]] bool requestWritten() const;
+    [[nodiscard]] ErrorCode connectionError();
 
     std::shared_ptr<ClientShared> shared_;
     std::string address_;
@@ -87,6 +88,7 @@
 
     std::string head_; ///< Request line and fields as sent.
     std::size_t written_ = 0; ///< Bytes of head and body that the kernel took.
+    ErrorCode writeError_; ///< Of a write after the first byte.
     std::optional<ResponseParser> parser_;
     std::string input_; ///< Received, not yet parsed.
 
