HTTP client: a status outside 100 to 599 is no response

Cause: Beast takes any three digits as a status. 000 and 099 counted as interim responses, and 600 and 999 were passed on.

The parser of responses now refuses them, so that the exchange ends as failed before the head: the relay answers 502 or tries again, as after garbage.

--- a/persimmonlb/http/internal/messageparser.h
+++ b/persimmonlb/http/internal/messageparser.h
@@ -113,8 +113,15 @@
         method_.assign(method.data(), method.size());
         target_.assign(target.data(), target.size());
     }
-    void on_response_impl(int code, View, int version, ErrorCode &) override // NOLINT
+    void on_response_impl(int code, View, int version, ErrorCode &error) override // NOLINT
     {
+        // Beast takes any three digits.
+        constexpr int lowestStatus = 100;
+        constexpr int highestStatus = 599;
+        if (code < lowestStatus || code > highestStatus) {
+            error = boost::beast::http::error::bad_status;
+            return;
+        }
         version_ = version;
         status_ = static_cast<std::uint16_t>(code);
     }
