--- a/persimmonlb/http/client_test.cpp
+++ b/persimmonlb/http/client_test.cpp
@@ -3,8 +3,7 @@
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
-#include "persimmonlb/http/client.h"
-#include "persimmonlb/http/internal/loopback.h"
+#include "persimmonlb/http/testing/clientfixture.h"
 
 namespace persimmonlb
 {
@@ -13,83 +12,6 @@
 {
 
 namespace data = boost::unit_test::data;
-using internal::RawPeer;
-using internal::RawServer;
-using internal::runReady;
-using internal::runUntil;
-
-/// What the hooks of one exchange were called with.
-struct Recorder {
-    std::vector<HttpResponseHead> heads;
-    std::string body;
-    std::vector<HttpExchangeEnd> ends;
-    std::unique_ptr<HttpExchange> exchange;
-
-    HttpExchangeHooks hooks()
-    {
-        return {.head = [this](HttpResponseHead head) { heads.push_back(std::move(head)); },
-                .chunk = [this](const std::string &chunk) { body += chunk; },
-                .end =
-                    [this](HttpExchangeEnd end) {
-                        ends.push_back(std::move(end));
-                    }};
-    }
-};
-
-struct Fixture {
-    boost::asio::io_context context;
-    RawServer server{context};
-    std::unique_ptr<HttpClient> client;
-
-    explicit Fixture(HttpClientOptions options = {})
-        : client(HttpClient::create(context, options))
-    {
-    }
-
-    static HttpRequest request(std::string body = "hi")
-    {
-        return {.method = "POST",
-                .target = "/a",
-                .headers = {{{"X-One", "1"}, {"Connection", "close"}}},
-                .body = std::move(body),
-                .remoteAddress = {}};
-    }
-    void start(Recorder &recorder, Milliseconds deadline = Milliseconds(0))
-    {
-        recorder.exchange = client->start(server.address(), request(), deadline, recorder.hooks());
-    }
-    HttpExchangeEnd endOf(const Recorder &recorder)
-    {
-        BOOST_REQUIRE(runUntil(context, [&] { return !recorder.ends.empty(); }));
-        runReady(context);
-        BOOST_TEST(recorder.ends.size() == 1U);
-        return recorder.ends.front();
-    }
-    /// Runs one exchange that leaves a kept-alive connection in the pool.
-    void warmUp()
-    {
-        Recorder recorder;
-        start(recorder);
-        RawPeer &peer = server.connection(server.accepted());
-        BOOST_REQUIRE(peer.receives("hi"));
-        peer.send("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
-        BOOST_REQUIRE((endOf(recorder).code == ResultCode::Ok));
-        peer.forget();
-    }
-};
-
-struct Answer {
-    const char *name;
-    std::string bytes;
-    bool thenClose;
-    ResultCode code;
-    std::string body;
-};
-
-std::ostream &operator<<(std::ostream &out, const Answer &answer)
-{
-    return out << answer.name;
-}
 
 const std::vector<Answer> answers = {
     {"length", "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc", false, ResultCode::Ok, "abc"},
@@ -141,27 +63,6 @@
      ResultCode::StreamBroken, "a"},
 };
 
-/// Ways in which the connection of a response without length ends while its request is long.
-struct LongUpload {
-    const char *name;
-    bool readOn; ///< The server reads the whole request before it ends the connection.
-    void (RawPeer::*endConnection)();
-    ResultCode code;
-};
-
-std::ostream &operator<<(std::ostream &out, const LongUpload &upload)
-{
-    return out << upload.name;
-}
-
-const std::vector<LongUpload> longUploads = {
-    {"reset during the upload", false, &RawPeer::reset, ResultCode::StreamBroken},
-    {"closed with unread input", false, &RawPeer::close, ResultCode::StreamBroken},
-    {"end of file during the upload", false, &RawPeer::closeSending, ResultCode::StreamBroken},
-    {"reset after the upload", true, &RawPeer::reset, ResultCode::StreamBroken},
-    {"closed after the upload", true, &RawPeer::close, ResultCode::Ok},
-};
-
 } // namespace clienttest
 
 using namespace clienttest;
@@ -170,25 +71,7 @@
 
 BOOST_DATA_TEST_CASE(answerEndsAsWhatItWas, data::make(answers), answer)
 {
-    HttpClientOptions options;
-    options.maxHeaderBytes = 2000;
-    options.maxBodyBytes = 1000;
-    Fixture fixture(options);
-    Recorder recorder;
-    fixture.start(recorder);
-    RawPeer &peer = fixture.server.connection(0);
-    BOOST_TEST(peer.receives("\r\n\r\nhi"));
-    BOOST_TEST(peer.count("POST /a HTTP/1.1\r\n") == 1U);
-    BOOST_TEST(peer.count("X-One: 1\r\n") == 1U);
-    BOOST_TEST(peer.count("Connection:") == 0U);
-    peer.send(answer.bytes);
-    if (answer.thenClose) {
-        peer.close();
-    }
-    const HttpExchangeEnd end = fixture.endOf(recorder);
-    BOOST_TEST((end.code == answer.code), "ended with " << describe(end.code).name);
-    BOOST_TEST((end.sendState == SendState::Sent));
-    BOOST_TEST(recorder.body == answer.body);
+    checkAnswer(answer);
 }
 
 /// Guards against an answer without length that is whole and counts as cut, and against one that is
@@ -429,30 +312,6 @@
     fixture.server.connection(1);
 }
 
-/// Guards against a cut response that counts as whole: a failed write of the request takes the
-/// error of the connection, and the next read then sees an orderly end of file.
-BOOST_DATA_TEST_CASE(responseWithoutLengthIsCutIfItsConnectionEndsDuringTheUpload,
-                     data::make(longUploads), upload)
-{
-    Fixture fixture;
-    Recorder recorder;
-    constexpr std::size_t size = 64UL * 1024 * 1024; // More than the kernel buffers.
-    recorder.exchange
-        = fixture.client->start(fixture.server.address(), Fixture::request(std::string(size, 'x')),
-                                Milliseconds(0), recorder.hooks());
-    RawPeer &peer = fixture.server.connection(0);
-    peer.send("HTTP/1.1 200 OK\r\n\r\nabc");
-    BOOST_TEST(runUntil(fixture.context, [&] { return recorder.body == "abc"; }));
-    if (upload.readOn) {
-        BOOST_TEST(runUntil(fixture.context, [&] { return peer.received().size() > size; }));
-    }
-    (peer.*upload.endConnection)();
-    const HttpExchangeEnd end = fixture.endOf(recorder);
-    BOOST_TEST((end.code == upload.code), "ended with " << describe(end.code).name);
-    BOOST_TEST((end.sendState == SendState::Sent));
-    BOOST_TEST(recorder.body == "abc");
-}
-
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace persimmonlb
