HTTP client: bounds for interim responses, no kept connection after an announced body, chunked alone

- Interim responses before one response are bounded: 100 of them, and maxHeaderBytes in all.
One with a body is refused, because it is not known where the next response begins.
- After a 204 or 304 whose head announces a body, the connection is not kept: a late body would be read as the response to the next request.
- A Transfer-Encoding other than 'chunked' alone is refused before the head is delivered: the body was passed on in its coding without the field.

--- a/persimmonlb/http/client.h
+++ b/persimmonlb/http/client.h
@@ -63,7 +63,7 @@
     Milliseconds connectTimeout{1000};
     Milliseconds idleConnectionTimeout{30000};
     std::uint32_t maxIdlePerServer = 32;
-    std::uint32_t maxHeaderBytes = 65536; ///< Of an answer.
+    std::uint32_t maxHeaderBytes = 65536; ///< Of an answer, and of all interim ones before it.
     std::uint64_t maxBodyBytes = 1024ULL * 1024 * 1024; ///< Of an answer.
 };
 
--- a/persimmonlb/http/internal/clientexchange.cpp
+++ b/persimmonlb/http/internal/clientexchange.cpp
@@ -268,12 +268,20 @@
 bool ClientExchange::parseOnce(std::string_view &bytes)
 {
     ErrorCode error;
-    bytes.remove_prefix(parser_->feed(bytes, error));
+    const std::size_t used = parser_->feed(bytes, error);
+    bytes.remove_prefix(used);
     constexpr std::uint16_t firstFinalStatus = 200;
     const bool interim = parser_->is_header_done() && parser_->status() < firstFinalStatus;
+    if (!headDelivered_) {
+        headBytes_ += used;
+    }
     if (!error && interim && parser_->status() != 101) {
-        resetParser();
-        return !bytes.empty();
+        return takeInterim() && !bytes.empty();
+    }
+    if (error == boost::beast::http::error::bad_transfer_encoding) {
+        // Found at the end of the head, which the parser counts as done then.
+        broken(error.message());
+        return false;
     }
     if (!interim && parser_->is_header_done() && !deliver()) {
         return false;
@@ -290,6 +298,25 @@
     return false;
 }
 
+/// Drops an interim answer; false when the server sends too many of them or a wrong one.
+bool ClientExchange::takeInterim()
+{
+    // A server may report its progress in this way, but not keep an exchange busy without end.
+    constexpr int mostInterim = 100;
+    ++interimCount_;
+    if (interimCount_ > mostInterim || headBytes_ > shared_->options.maxHeaderBytes) {
+        broken("too many interim responses");
+        return false;
+    }
+    if (parser_->announcesBody()) {
+        // Where the next answer begins is not known.
+        broken("an interim response with a body");
+        return false;
+    }
+    resetParser();
+    return true;
+}
+
 /// Calls the hooks for what was parsed; false when one of them cancelled the exchange.
 bool ClientExchange::deliver()
 {
@@ -357,7 +384,14 @@
 
 void ClientExchange::complete()
 {
-    if (parser_->keep_alive() && requestWritten() && input_.empty()) {
+    constexpr std::uint16_t noContent = 204;
+    constexpr std::uint16_t notModified = 304;
+    const std::uint16_t status = parser_->status();
+    // A server may send the body that it announces, too late for input_ to show it. A 304 may name
+    // the length of what it stands for; such a connection is given up as well.
+    const bool bodyMayFollow
+        = (status == noContent || status == notModified) && parser_->announcesBody();
+    if (parser_->keep_alive() && requestWritten() && input_.empty() && !bodyMayFollow) {
         shared_->pool->give(address_, std::move(socket_));
     }
     end(ResultCode::Ok, {});
--- a/persimmonlb/http/internal/clientexchange.h
+++ b/persimmonlb/http/internal/clientexchange.h
@@ -66,6 +66,7 @@
     void readAnswer(const ErrorCode &waitError);
     void takeInput(std::string_view bytes);
     bool parseOnce(std::string_view &bytes);
+    bool takeInterim();
     bool deliver();
     void inputEnded(const ErrorCode &error);
 
@@ -91,6 +92,8 @@
     ErrorCode writeError_; ///< Of a write after the first byte.
     std::optional<ResponseParser> parser_;
     std::string input_; ///< Received, not yet parsed.
+    std::uint64_t headBytes_ = 0; ///< Parsed before the final head was complete.
+    int interimCount_ = 0;
 
     bool pooled_ = false;
     bool connecting_ = false;
--- a/persimmonlb/http/internal/messageparser.h
+++ b/persimmonlb/http/internal/messageparser.h
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include <boost/asio/buffer.hpp>
+#include <boost/beast/core/string.hpp>
 #include <boost/beast/http/basic_parser.hpp>
 #include <boost/beast/http/error.hpp>
 
@@ -66,6 +67,11 @@
     {
         return version_;
     }
+    /// The head says that a body follows, whether or not the message may have one.
+    [[nodiscard]] bool announcesBody() const
+    {
+        return Base::chunked() || Base::content_length().value_or(0) > 0;
+    }
     [[nodiscard]] std::uint16_t status() const
     {
         return status_;
@@ -144,6 +150,13 @@
         if (headers_.contains("Transfer-Encoding") && !Base::chunked()) {
             error = boost::beast::http::error::bad_transfer_encoding;
         }
+        if constexpr (!isRequest) {
+            // No other encoding was offered to the server, and none is undone here.
+            const std::string_view encoding = headers_.find("Transfer-Encoding");
+            if (!encoding.empty() && !boost::beast::iequals(encoding, "chunked")) {
+                error = boost::beast::http::error::bad_transfer_encoding;
+            }
+        }
     }
     void on_body_init_impl(const boost::optional<std::uint64_t> &, ErrorCode &) override // NOLINT
     {
