Platform: tests of server ids that are not UTF-8

A heartbeat or the end of a server with an id that is not UTF-8 is taken, and GET /v1/fleet then throws until the process ends; the id of a batch job does the same, as callers choose it.

--- a/persimmonlb/fleetnode/fleetnode_test.cpp
+++ b/persimmonlb/fleetnode/fleetnode_test.cpp
@@ -270,4 +270,19 @@
     BOOST_TEST(!fleet.node(9).status().group.has_value());
 }
 
+/// Guards against a status that cannot be written, which ends the process, because of bytes that a
+/// server or caller chose.
+BOOST_AUTO_TEST_CASE(writesStatusWithNamesThatAreNotUtf8)
+{
+    FleetStatus status;
+    FleetServer server;
+    server.id = ServerId{"i\xff"};
+    status.view.servers.push_back(server);
+    status.jobs.emplace_back(JobId{"j\xc3"}, BulkJob());
+    std::string text;
+    BOOST_REQUIRE_NO_THROW(text = formatFleetStatus(status));
+    BOOST_TEST(text.find("\"server\":\"i\xef\xbf\xbd\"") != std::string::npos);
+    BOOST_TEST(text.find("\"job\":\"j\xef\xbf\xbd\"") != std::string::npos);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/persimmonlb/membership/server_test.cpp
+++ b/persimmonlb/membership/server_test.cpp
@@ -45,6 +45,9 @@
 const BadAnnouncement badAnnouncements[] = {
     {"[]", "announcement is not a JSON object"},
     {"{", "announcement is not a JSON object"},
+    {"{\"server\":\"s\xff\",\"address\":\"1:1\",\"service\":\"x\",\"kind\":\"plain\",\"state\":"
+     "\"ready\"}",
+     "announcement is not a JSON object"},
     {R"({"address":"1:1"})", "server is missing"},
     {R"({"server":7})", "server is not a string"},
     {R"({"server":"s","address":"1:1","service":"x","kind":"other","state":"ready"})",
