--- a/persimmonlb/fleetnode/fleetnode_test.cpp
+++ b/persimmonlb/fleetnode/fleetnode_test.cpp
@@ -285,4 +285,14 @@
     BOOST_TEST(text.find("\"job\":\"j\xef\xbf\xbd\"") != std::string::npos);
 }
 
+/// Guards against an exception in a read of an operator that leaves the handler.
+BOOST_AUTO_TEST_CASE(answersReadThatThrowsWith500)
+{
+    BOOST_TEST(answerRead("text/plain", [] { return std::string("x"); }).status == 200);
+    const auto read = []() -> std::string {
+        throw std::runtime_error("a read that throws");
+    };
+    BOOST_TEST(answerRead("text/plain", read).status == 500);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/persimmonlb/fleetnode/fleetparts.cpp
+++ b/persimmonlb/fleetnode/fleetparts.cpp
@@ -192,11 +192,11 @@
 void FleetNode::Parts::answerOperators(const HttpRequest &request, HttpResponder &responder) const
 {
     if (request.target == statusTarget) {
-        responder.respond(HttpResponse{
-            200, {{{"Content-Type", "application/json"}}}, formatFleetStatus(status())});
+        responder.respond(
+            answerRead("application/json", [this] { return formatFleetStatus(status()); }));
         return;
     }
-    responder.respond(HttpResponse{200, {{{"Content-Type", "text/plain"}}}, metrics.text()});
+    responder.respond(answerRead("text/plain", [this] { return metrics.text(); }));
 }
 
 void FleetNode::Parts::tick()
--- a/persimmonlb/fleetnode/fleetstatus.cpp
+++ b/persimmonlb/fleetnode/fleetstatus.cpp
@@ -1,9 +1,12 @@
 #include "persimmonlb/fleetnode/fleetstatus.h"
 
+#include <exception>
 #include <utility>
 
 #include <nlohmann/json.hpp>
 
+#include "persimmonlb/base/logline.h"
+
 namespace persimmonlb
 {
 
@@ -97,7 +100,20 @@
     if (status.group) {
         json["group"] = groupJson(*status.group);
     }
-    return json.dump() + "\n";
+    // Callers choose the ids of jobs, which may be any bytes.
+    return json.dump(-1, ' ', false, Json::error_handler_t::replace) + "\n";
+}
+
+HttpResponse answerRead(const char *contentType, const std::function<std::string()> &read)
+{
+    constexpr std::uint16_t success = 200;
+    constexpr std::uint16_t internalError = 500;
+    try {
+        return {success, {{{"Content-Type", contentType}}}, read()};
+    } catch (const std::exception &error) {
+        LogLine(LogLevel::Error, "read_failed").add("why", error.what()).write();
+        return {internalError, {{{"Content-Type", "text/plain"}}}, "the read failed\n"};
+    }
 }
 
 } // namespace persimmonlb
--- a/persimmonlb/fleetnode/fleetstatus.h
+++ b/persimmonlb/fleetnode/fleetstatus.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <string>
 #include <vector>
@@ -9,6 +10,7 @@
 #include "persimmonlb/base/clock.h"
 #include "persimmonlb/bulk/bulktable.h"
 #include "persimmonlb/fleet/fleetview.h"
+#include "persimmonlb/http/message.h"
 
 namespace persimmonlb
 {
@@ -40,4 +42,8 @@
 /// As /v1/fleet answers (docs/INTERFACE.md).
 std::string formatFleetStatus(const FleetStatus &status);
 
+/// Answers an operator with what `read` returns, or with 500 if it throws: an exception that leaves
+/// the handler would count as a failure of the process.
+HttpResponse answerRead(const char *contentType, const std::function<std::string()> &read);
+
 } // namespace persimmonlb
