HTTP client: test of a reset that follows the end of file

The exchange asks the socket for a pending error at the end of file; no test showed that. In CLOSE_WAIT the kernel keeps the error of a reset and reports an end of file to each read.

--- a/persimmonlb/http/serverresponse_test.cpp
+++ b/persimmonlb/http/serverresponse_test.cpp
@@ -145,6 +145,21 @@
     BOOST_TEST(recorder.body == "abc");
 }
 
+/// Guards against an error that the kernel reports to nobody, because an end of file came before
+/// it.
+BOOST_AUTO_TEST_CASE(responseWithoutLengthIsCutIfItsConnectionIsResetAfterItsEnd)
+{
+    Fixture fixture;
+    Recorder recorder;
+    fixture.start(recorder);
+    RawPeer &peer = fixture.server.connection(0);
+    BOOST_TEST(peer.receives("\r\n\r\nhi"));
+    peer.send("HTTP/1.1 200 OK\r\n\r\nabc");
+    peer.closeSending();
+    peer.reset();
+    BOOST_TEST((fixture.endOf(recorder).code == ResultCode::StreamBroken));
+}
+
 /// Guards against the late body of a response that has none, which is taken for the response to the
 /// next request on its connection.
 BOOST_DATA_TEST_CASE(connectionIsNotKeptAfterAResponseThatAnnouncesABodyItMustNotHave,
