--- a/persimmonlb/quotas/quotaledger.cpp
+++ b/persimmonlb/quotas/quotaledger.cpp
@@ -135,7 +135,8 @@
     if (request.isCharged) {
         return std::nullopt;
     }
-    bool isAdmitted = static_cast<double>(account.admitted.total(now)) + 1 <= limitOf(account, now);
+    bool isAdmitted
+        = static_cast<double>(account.admitted.total(now)) + 1 <= limitOf(account, now);
     const bool hasHistory = static_cast<double>(toldHistory_.size())
         >= historyCoverage * static_cast<double>(hostCount_);
     if (isFirstWindow(now) && !hasHistory) {
@@ -182,7 +183,8 @@
 void QuotaLedger::hostLost(const HostId &host)
 {
     // The host may still send the requests that were granted to it, so nothing is given back.
-    std::erase_if(openCharges_, [&host](const auto &charge) { return charge.first.first == host; });
+    std::erase_if(openCharges_,
+                  [&host](const auto &charge) { return charge.first.first == host; });
 }
 
 double QuotaLedger::localShareOf(const CustomerName &customer) const
--- a/persimmonlb/quotas/requestlog.cpp
+++ b/persimmonlb/quotas/requestlog.cpp
@@ -28,7 +28,8 @@
 
 std::size_t RequestLog::total(MonotonicTime now) const
 {
-    return static_cast<std::size_t>(times_.end() - std::ranges::upper_bound(times_, now - window_));
+    return static_cast<std::size_t>(times_.end()
+                                    - std::ranges::upper_bound(times_, now - window_));
 }
 
 MonotonicTime RequestLog::whenBelow(std::size_t limit, MonotonicTime now) const
