--- a/persimmonlb/fleetnode/fleetnode_test.cpp
+++ b/persimmonlb/fleetnode/fleetnode_test.cpp
@@ -270,4 +270,29 @@
     BOOST_TEST(!fleet.node(9).status().group.has_value());
 }
 
+/// Guards against a status that cannot be written, which ends the process, because of bytes that a
+/// server or caller chose.
+BOOST_AUTO_TEST_CASE(writesStatusWithNamesThatAreNotUtf8)
+{
+    FleetStatus status;
+    FleetServer server;
+    server.id = ServerId{"i\xff"};
+    status.view.servers.push_back(server);
+    status.jobs.emplace_back(JobId{"j\xc3"}, BulkJob());
+    std::string text;
+    BOOST_REQUIRE_NO_THROW(text = formatFleetStatus(status));
+    BOOST_TEST(text.find("\"server\":\"i\xef\xbf\xbd\"") != std::string::npos);
+    BOOST_TEST(text.find("\"job\":\"j\xef\xbf\xbd\"") != std::string::npos);
+}
+
+/// Guards against an exception in a read of an operator that leaves the handler.
+BOOST_AUTO_TEST_CASE(answersReadThatThrowsWith500)
+{
+    BOOST_TEST(answerRead("text/plain", [] { return std::string("x"); }).status == 200);
+    const auto read = []() -> std::string {
+        throw std::runtime_error("a read that throws");
+    };
+    BOOST_TEST(answerRead("text/plain", read).status == 500);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/persimmonlb/http/internal/clientexchange.cpp
+++ b/persimmonlb/http/internal/clientexchange.cpp
@@ -200,7 +200,9 @@
 void ClientExchange::writeFailed(const ErrorCode &error)
 {
     if (written_ > 0) {
-        // The server may have answered before it closed: the reading side decides.
+        // The server may have answered before it closed: the reading side decides. It may see an
+        // orderly end of file, because the kernel reports the error of a connection only once.
+        writeError_ = error;
         awaitInput();
         return;
     }
@@ -266,12 +268,20 @@
 bool ClientExchange::parseOnce(std::string_view &bytes)
 {
     ErrorCode error;
-    bytes.remove_prefix(parser_->feed(bytes, error));
+    const std::size_t used = parser_->feed(bytes, error);
+    bytes.remove_prefix(used);
     constexpr std::uint16_t firstFinalStatus = 200;
     const bool interim = parser_->is_header_done() && parser_->status() < firstFinalStatus;
+    if (!headDelivered_) {
+        headBytes_ += used;
+    }
     if (!error && interim && parser_->status() != 101) {
-        resetParser();
-        return !bytes.empty();
+        return takeInterim() && !bytes.empty();
+    }
+    if (error == boost::beast::http::error::bad_transfer_encoding) {
+        // Found at the end of the head, which the parser counts as done then.
+        broken(error.message());
+        return false;
     }
     if (!interim && parser_->is_header_done() && !deliver()) {
         return false;
@@ -288,6 +298,25 @@
     return false;
 }
 
+/// Drops an interim answer; false when the server sends too many of them or a wrong one.
+bool ClientExchange::takeInterim()
+{
+    // A server may report its progress in this way, but not keep an exchange busy without end.
+    constexpr int mostInterim = 100;
+    ++interimCount_;
+    if (interimCount_ > mostInterim || headBytes_ > shared_->options.maxHeaderBytes) {
+        broken("too many interim responses");
+        return false;
+    }
+    if (parser_->announcesBody()) {
+        // Where the next answer begins is not known.
+        broken("an interim response with a body");
+        return false;
+    }
+    resetParser();
+    return true;
+}
+
 /// Calls the hooks for what was parsed; false when one of them cancelled the exchange.
 bool ClientExchange::deliver()
 {
@@ -313,13 +342,36 @@
 
 void ClientExchange::inputEnded(const ErrorCode &error)
 {
-    if (headDelivered_ && error == asio::error::eof && parser_->need_eof()) {
-        // An answer without length or chunks ends with its connection, unless that is reset.
-        end(ResultCode::Ok, {});
+    if (error != asio::error::eof) {
+        broken(error.message());
         return;
     }
-    broken(error == asio::error::eof ? std::string("the server closed the connection")
-                                     : error.message());
+    if (!headDelivered_ || !parser_->need_eof()) {
+        broken("the server closed the connection");
+        return;
+    }
+    if (const ErrorCode failure = connectionError()) {
+        broken(failure.message());
+        return;
+    }
+    if (!requestWritten()) {
+        // A server that ends its process looks the same as one that has said all it wants to say.
+        broken("the server closed the connection before it had the whole request");
+        return;
+    }
+    end(ResultCode::Ok, {});
+}
+
+/// The error that a write met, or that the kernel has not reported yet.
+ClientExchange::ErrorCode ClientExchange::connectionError()
+{
+    if (writeError_) {
+        return writeError_;
+    }
+    asio::detail::socket_option::integer<SOL_SOCKET, SO_ERROR> pending;
+    ErrorCode error;
+    socket_.get_option(pending, error);
+    return error ? error : ErrorCode(pending.value(), boost::system::system_category());
 }
 
 void ClientExchange::broken(const std::string &message)
@@ -332,7 +384,14 @@
 
 void ClientExchange::complete()
 {
-    if (parser_->keep_alive() && requestWritten() && input_.empty()) {
+    constexpr std::uint16_t noContent = 204;
+    constexpr std::uint16_t notModified = 304;
+    const std::uint16_t status = parser_->status();
+    // A server may send the body that it announces, too late for input_ to show it. A 304 may name
+    // the length of what it stands for; such a connection is given up as well.
+    const bool bodyMayFollow
+        = (status == noContent || status == notModified) && parser_->announcesBody();
+    if (parser_->keep_alive() && requestWritten() && input_.empty() && !bodyMayFollow) {
         shared_->pool->give(address_, std::move(socket_));
     }
     end(ResultCode::Ok, {});
--- a/persimmonlb/http/internal/clientexchange.h
+++ b/persimmonlb/http/internal/clientexchange.h
@@ -66,6 +66,7 @@
     void readAnswer(const ErrorCode &waitError);
     void takeInput(std::string_view bytes);
     bool parseOnce(std::string_view &bytes);
+    bool takeInterim();
     bool deliver();
     void inputEnded(const ErrorCode &error);
 
@@ -76,6 +77,7 @@
     void resetParser();
 
     [[nodiscard]] bool requestWritten() const;
+    [[nodiscard]] ErrorCode connectionError();
 
     std::shared_ptr<ClientShared> shared_;
     std::string address_;
@@ -87,8 +89,11 @@
 
     std::string head_; ///< Request line and fields as sent.
     std::size_t written_ = 0; ///< Bytes of head and body that the kernel took.
+    ErrorCode writeError_; ///< Of a write after the first byte.
     std::optional<ResponseParser> parser_;
     std::string input_; ///< Received, not yet parsed.
+    std::uint64_t headBytes_ = 0; ///< Parsed before the final head was complete.
+    int interimCount_ = 0;
 
     bool pooled_ = false;
     bool connecting_ = false;
