--- a/persimmonlb/quotas/localallowance.cpp
+++ b/persimmonlb/quotas/localallowance.cpp
@@ -66,8 +66,8 @@
 SentHistory LocalAllowance::history() const
 {
     constexpr std::chrono::seconds interval{1};
-    const auto seconds = static_cast<std::size_t>(
-        std::chrono::ceil<std::chrono::seconds>(window_).count());
+    const auto seconds
+        = static_cast<std::size_t>(std::chrono::ceil<std::chrono::seconds>(window_).count());
     const MonotonicTime now = clock_.monotonic();
     SentHistory history{.isWhole = now - startedAt_ >= window_};
     for (const auto &[customer, account] : accounts_) {
--- a/persimmonlb/quotas/quotafleet_test.cpp
+++ b/persimmonlb/quotas/quotafleet_test.cpp
@@ -222,7 +222,8 @@
                 };
             }
             model.run(40);
-            BOOST_TEST(model.totalRefusedWithinQuota() == 0U, "hosts " << hostCount << " way " << way);
+            BOOST_TEST(model.totalRefusedWithinQuota() == 0U,
+                       "hosts " << hostCount << " way " << way);
             BOOST_TEST(model.worstExcess() <= 0);
         }
     }
--- a/persimmonlb/quotas/quotaledger.cpp
+++ b/persimmonlb/quotas/quotaledger.cpp
@@ -144,8 +144,7 @@
     if (request.isCharged) {
         return std::nullopt;
     }
-    bool isAdmitted
-        = static_cast<double>(account.admitted.total(now)) + 1 <= limitOf(account, now);
+    bool isAdmitted = static_cast<double>(account.admitted.total(now)) + 1 <= limitOf(account, now);
     if (isFirstWindow(now) && coverage() < historyCoverage) {
         const std::chrono::duration<double> inTerm = now - termBegan_;
         isAdmitted = account.admittedInTerm + 1
@@ -190,8 +189,7 @@
 void QuotaLedger::hostLost(const HostId &host)
 {
     // The host may still send the requests that were granted to it, so nothing is given back.
-    std::erase_if(openCharges_,
-                  [&host](const auto &charge) { return charge.first.first == host; });
+    std::erase_if(openCharges_, [&host](const auto &charge) { return charge.first.first == host; });
 }
 
 double QuotaLedger::localShareOf(const CustomerName &customer) const
--- a/persimmonlb/quotas/quotaledger_test.cpp
+++ b/persimmonlb/quotas/quotaledger_test.cpp
@@ -132,8 +132,9 @@
     fixture.ledger.setHostCount(3);
     for (const char *name : {"a", "b", "a"}) {
         fixture.ledger.takeHistory(
-            HostId{name}, {.isWhole = true,
-                           .customers = {{.customer = customer, .sentBySecond = {5, 0, 0, 0, 5}}}});
+            HostId{name},
+            {.isWhole = true,
+             .customers = {{.customer = customer, .sentBySecond = {5, 0, 0, 0, 5}}}});
     }
     // Two thirds of the quota of 60, less what two hosts sent.
     BOOST_TEST(fixture.admittedAtOnce() == 20U);
--- a/persimmonlb/quotas/requestlog.h
+++ b/persimmonlb/quotas/requestlog.h
@@ -16,7 +16,8 @@
 public:
     explicit RequestLog(Milliseconds window);
 
-    /// Adds requests, and drops those that are out of the window at `now`. `at` may lie in the past.
+    /// Adds requests, and drops those that are out of the window at `now`. `at` may lie in the
+    /// past.
     void add(std::uint32_t requests, MonotonicTime at, MonotonicTime now);
     /// Takes back one request that was added with this time.
     void remove(MonotonicTime at);
--- a/persimmonlb/store/diskstore_test.cpp
+++ b/persimmonlb/store/diskstore_test.cpp
@@ -438,8 +438,8 @@
     {
         const auto store = openWell(main());
         for (int number = 0; number < values; ++number) {
-            const MutationList changes{{.key = std::to_string(number % 50),
-                                        .value = std::string(valueBytes, 'v')}};
+            const MutationList changes{
+                {.key = std::to_string(number % 50), .value = std::string(valueBytes, 'v')}};
             BOOST_REQUIRE(capture([&] { return store->stateStore().write(changes); }).ok());
         }
         sync(*store);
--- a/persimmonlb/wire/internal/websocketendpoint.cpp
+++ b/persimmonlb/wire/internal/websocketendpoint.cpp
@@ -50,8 +50,9 @@
         using response_type = MeshConfig::response_type; // NOLINT
         using socket_type = websocketpp::transport::asio::basic_socket::endpoint; // NOLINT
         static const bool enable_multithreading = false; // NOLINT
-        // Some hundred round trips. A dial that began while the peer had no power hangs until this is
-        // over: with 1 s, entry hosts learned of a new leader half a second after it was elected.
+        // Some hundred round trips. A dial that began while the peer had no power hangs until this
+        // is over: with 1 s, entry hosts learned of a new leader half a second after it was
+        // elected.
         static const long timeout_connect = 300; // NOLINT
         static const long timeout_socket_post_init = 1000; // NOLINT
     };
