Parent choice: a parent without word of the leader is left after 1.5 s, the next ones after 0.35 s

A parent was left 1.2 s after its word of the leader was 1.5 s old, 2.7 s in all, and each of the others of the zone after 1.2 s: 5.1 s until a parent of another zone was tried. Change: the age counts on between replies, and a new parent must show within 0.35 s that it hears of the leader.

--- a/persimmonlb/fleettree/parentchoice.h
+++ b/persimmonlb/fleettree/parentchoice.h
@@ -17,6 +17,9 @@
     /// A parent that heard of no leader for so long is left. Longer than an election, so that not
     /// every host moves when a leader is lost.
     Milliseconds staleness{1500};
+    /// A new parent must have heard of the leader, and said so, within this: one report and its
+    /// reply. All storage hosts of a zone may be cut off together.
+    Milliseconds proofTime{350};
     /// A parent that was left is not chosen again for so long, while there are others.
     Milliseconds rest{4000};
     /// After this a host goes back to a parent that it ranks higher, so that the load of a storage
@@ -66,7 +69,7 @@
     HostId parent_;
     MonotonicTime chosenAt_;
     MonotonicTime heardAt_;
-    MonotonicTime freshAt_; ///< When the parent's word of the leader was last fresh.
+    MonotonicTime leaderHeardAt_; ///< When the parent heard of the leader last.
 };
 
 } // namespace persimmonlb
