Slots: call the broker's hooks after the walk over its queues

Cause: grants, refusals and offers to batch runs were delivered while SlotBroker walked over its queues, servers and services. Change: hook calls are collected and made in order after the change; a call of the broker inside a hook changes the state at once and its hook calls follow those that are due. yieldBatch(), which returns a value, is called only when no walk is in progress; the walk then starts again, and a request that was ended inside it gets no answer. No answer follows the end of its ticket.

--- a/persimmonlb/slots/slotbatch.cpp
+++ b/persimmonlb/slots/slotbatch.cpp
@@ -69,7 +69,7 @@
     }
     releaseBatch(run);
     recordOutcome(found->second, outcome);
-    serveQueue(found->second.info.service);
+    changeState([this, service = found->second.info.service] { serveQueue(service); });
 }
 
 } // namespace persimmonlb
--- a/persimmonlb/slots/slotbroker.cpp
+++ b/persimmonlb/slots/slotbroker.cpp
@@ -14,6 +14,25 @@
 
 constexpr double holdSmoothingWeight = 0.1; ///< Weight of the newest observation.
 
+class ScopedIncrement
+{
+public:
+    explicit ScopedIncrement(int &counter)
+        : counter_(counter)
+    {
+        ++counter_;
+    }
+    ScopedIncrement(const ScopedIncrement &) = delete;
+    ScopedIncrement &operator=(const ScopedIncrement &) = delete;
+    ~ScopedIncrement()
+    {
+        --counter_;
+    }
+
+private:
+    int &counter_;
+};
+
 } // namespace
 
 SlotBroker::SlotBroker(SlotBrokerOptions options, Clock clock, RandomSource random,
@@ -25,6 +44,53 @@
 {
 }
 
+void SlotBroker::changeState(const std::function<void()> &change)
+{
+    {
+        const ScopedIncrement nested(changeDepth_);
+        change();
+    }
+    callDueHooks();
+}
+
+void SlotBroker::callDueHooks()
+{
+    if (changeDepth_ > 0 || hooksCalled_ > 0) {
+        return;
+    }
+    const ScopedIncrement calling(hooksCalled_);
+    while (!dueEffects_.empty()) {
+        const Effect effect = std::move(dueEffects_.front());
+        dueEffects_.pop_front();
+        callHook(effect);
+    }
+}
+
+void SlotBroker::callHook(const Effect &effect)
+{
+    if (const auto *granted = std::get_if<SendGrant>(&effect)) {
+        hooks_.grant(granted->to, granted->grant);
+    } else if (const auto *refused = std::get_if<SendRefusal>(&effect)) {
+        hooks_.refuse(refused->to, refused->refusal);
+    } else if (const auto &service = std::get<OfferToBatch>(effect).service;
+               waiting(service) == 0) {
+        hooks_.batchMayStart(service);
+    }
+}
+
+void SlotBroker::dropAnswers(const HostId &host, std::optional<std::uint64_t> ticket)
+{
+    std::erase_if(dueEffects_, [&](const Effect &effect) {
+        if (const auto *granted = std::get_if<SendGrant>(&effect)) {
+            return granted->to == host
+                && granted->grant.ticket == ticket.value_or(granted->grant.ticket);
+        }
+        const auto *refused = std::get_if<SendRefusal>(&effect);
+        return refused != nullptr && refused->to == host
+            && refused->refusal.ticket == ticket.value_or(refused->refusal.ticket);
+    });
+}
+
 void SlotBroker::setServers(const std::vector<FleetServer> &servers,
                             const std::function<SlotCapacity(const ServiceName &)> &capacityOf)
 {
@@ -53,9 +119,11 @@
     for (const auto &[ticket, held] : grantedSlots_) {
         recordGrantTime(servers_.at(held.server), held.grantedAt);
     }
-    for (const auto &[name, service] : services_) {
-        serveQueue(name);
-    }
+    changeState([this] {
+        for (const ServiceName &name : services()) {
+            serveQueue(name);
+        }
+    });
 }
 
 void SlotBroker::updateLimit(Server &server)
@@ -101,6 +169,8 @@
         service.grantTimes.clear();
     }
     queuedCount_ = 0;
+    dueEffects_.clear();
+    undecided_.clear();
 }
 
 void SlotBroker::recordLoad(const ServerId &server, std::uint32_t requests)
@@ -123,7 +193,7 @@
         return;
     }
     --found->second.orphaned;
-    serveQueue(found->second.info.service);
+    changeState([this, service = found->second.info.service] { serveQueue(service); });
 }
 
 void SlotBroker::updatePeak(Server &server)
@@ -141,11 +211,29 @@
 }
 
 void SlotBroker::request(const HostId &from, const SlotRequest &request)
+{
+    changeState([&] { decide(from, request); });
+}
+
+void SlotBroker::decide(const HostId &from, const SlotRequest &request)
 {
     Service &service = services_[request.service];
     const std::size_t ahead = queuedAhead(service, request);
-    if (ahead == 0 && tryGrant(from, request)) {
-        return;
+    if (ahead == 0) {
+        if (tryGrant(from, request)) {
+            return;
+        }
+        const Ticket ticket{from, request.ticket};
+        undecided_.insert(ticket);
+        const bool isFreed = freeSlotOfBatch(request.service);
+        if (undecided_.erase(ticket) == 0) {
+            // The request was ended inside yieldBatch().
+            serveQueue(request.service);
+            return;
+        }
+        if (isFreed && tryGrant(from, request)) {
+            return;
+        }
     }
     const Milliseconds wait = expectedWait(request.service, ahead);
     Milliseconds waitTimeout(static_cast<std::int64_t>(request.startWithinMs));
@@ -159,18 +247,12 @@
         return;
     }
     enqueue(from, request);
-    hooks_.grant(from, SlotGrant{.ticket = request.ticket});
+    dueEffects_.push_back(SendGrant{from, SlotGrant{.ticket = request.ticket}});
 }
 
 bool SlotBroker::tryGrant(const HostId &host, const SlotRequest &request)
 {
     Server *server = bestServerFor(request);
-    if (server == nullptr && hooks_.yieldBatch) {
-        if (const auto freed = hooks_.yieldBatch(request.service)) {
-            releaseBatch(*freed);
-            server = bestServerFor(request);
-        }
-    }
     if (server == nullptr) {
         return false;
     }
@@ -188,11 +270,11 @@
     server.limiter.take(now);
     grantedSlots_[Ticket{host, request.ticket}] = GrantedSlot{server.info.id, request.tokens, now};
     recordGrantTime(server, now);
-    hooks_.grant(host,
-                 SlotGrant{.ticket = request.ticket,
-                           .server = server.info.id,
-                           .address = server.info.address,
-                           .bornMs = server.info.bornMs});
+    dueEffects_.push_back(SendGrant{host,
+                                    SlotGrant{.ticket = request.ticket,
+                                              .server = server.info.id,
+                                              .address = server.info.address,
+                                              .bornMs = server.info.bornMs}});
 }
 
 void SlotBroker::recordGrantTime(const Server &server, MonotonicTime at)
@@ -203,6 +285,8 @@
 
 void SlotBroker::end(const HostId &from, const SlotEnd &end)
 {
+    dropAnswers(from, end.ticket);
+    undecided_.erase(Ticket{from, end.ticket});
     const auto found = grantedSlots_.find(Ticket{from, end.ticket});
     if (found == grantedSlots_.end()) {
         for (auto &[name, service] : services_) {
@@ -223,7 +307,7 @@
     }
     recordOutcome(server->second, end.outcome);
     release(held);
-    serveQueue(server->second.info.service);
+    changeState([this, service = server->second.info.service] { serveQueue(service); });
 }
 
 void SlotBroker::release(const GrantedSlot &held)
@@ -308,6 +392,8 @@
 
 void SlotBroker::hostLost(const HostId &host)
 {
+    dropAnswers(host, std::nullopt);
+    std::erase_if(undecided_, [&host](const Ticket &ticket) { return ticket.host == host; });
     for (auto position = grantedSlots_.begin(); position != grantedSlots_.end();) {
         if (position->first.host != host) {
             ++position;
--- a/persimmonlb/slots/slotbroker.h
+++ b/persimmonlb/slots/slotbroker.h
@@ -1,12 +1,15 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <list>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_set>
+#include <variant>
 #include <vector>
 
 #include "persimmonlb/base/clock.h"
@@ -60,12 +63,15 @@
     bool operator==(const BatchRunSlot &) const = default;
 };
 
+/// The hooks may call the broker. They are called after its state is consistent, never while it
+/// iterates over it; except for yieldBatch(), one after the other in the order of the decisions.
 struct SlotBrokerHooks {
     /// Delivers a grant. Also called, with a grant without a server, when a request is queued.
     std::function<void(const HostId &to, const SlotGrant &grant)> grant;
     std::function<void(const HostId &to, const SlotRefusal &refusal)> refuse;
     /// Ends the batch run of the service that loses the least work and returns its slot, which the
-    /// broker then counts as free. Returns nothing when no run may be ended.
+    /// broker then counts as free. Returns nothing when no run may be ended. Other hooks that are
+    /// due because of broker calls inside this one are called later.
     std::function<std::optional<BatchRunSlot>(const ServiceName &service)> yieldBatch;
     /// Called when no request of the service is queued, so that batch runs may take free slots.
     std::function<void(const ServiceName &service)> batchMayStart;
@@ -122,7 +128,7 @@
     [[nodiscard]] bool allowsRequest(const ServerId &server) const;
     /// Counts a request that another broker granted against the limit of its server.
     void countRequest(const ServerId &server);
-    /// Releases a slot, or removes a queued request.
+    /// Releases a slot, or removes a queued request. No hook is called for this ticket afterwards.
     void end(const HostId &from, const SlotEnd &end);
     /// Replaces the slots and drops the queued requests of an entry host.
     void setHeldSlots(const HostId &from, const SlotsHeld &held);
@@ -202,6 +208,19 @@
         std::uint64_t tokens = 0;
         MonotonicTime grantedAt;
     };
+    struct SendGrant {
+        HostId to;
+        SlotGrant grant;
+    };
+    struct SendRefusal {
+        HostId to;
+        SlotRefusal refusal;
+    };
+    struct OfferToBatch {
+        ServiceName service;
+    };
+    /// A hook call that is due.
+    using Effect = std::variant<SendGrant, SendRefusal, OfferToBatch>;
     using Queue = std::list<WaitingRequest>;
     struct Service {
         Queue queue; ///< Ordered by priority and startBy.
@@ -243,7 +262,17 @@
     [[nodiscard]] Milliseconds expectedWait(const ServiceName &service, std::size_t ahead) const;
     /// Returns the number of queued requests that are served before `request`.
     [[nodiscard]] std::size_t queuedAhead(const Service &service, const SlotRequest &request) const;
+    /// Makes a change and then calls the hooks that are due, unless an outer call does so.
+    void changeState(const std::function<void()> &change);
+    void callDueHooks();
+    void callHook(const Effect &effect);
+    /// Drops the due answers to a host, or only those to one of its tickets.
+    void dropAnswers(const HostId &host, std::optional<std::uint64_t> ticket);
+    void decide(const HostId &from, const SlotRequest &request);
+    /// Grants a slot if a server has a free one. Calls no hook.
     bool tryGrant(const HostId &host, const SlotRequest &request);
+    /// Ends a batch run to free a slot. Calls yieldBatch(): no iterator may be in use.
+    bool freeSlotOfBatch(const ServiceName &service);
     void grant(const HostId &host, const SlotRequest &request, Server &server);
     void refuse(const HostId &host, const SlotRequest &request, Milliseconds wait);
     /// Returns the delay after which the caller of a refused request should retry, and reserves
@@ -253,8 +282,19 @@
     /// Grants free slots by priority, and within a priority first to requests that can still start
     /// in time: serving a late one first would make the next ones late as well.
     void serveQueue(const ServiceName &service);
-    /// Grants slots to the requests of [first, last). Returns false once no slot is left.
-    bool serveRange(Queue &queue, Queue::iterator first, Queue::iterator last);
+    /// A queued request that no server accepts.
+    struct BlockedRequest {
+        Ticket ticket;
+        bool excludesServers = false;
+    };
+    /// Grants free slots to queued requests. Returns the first one that no server accepts, unless a
+    /// batch run was ended for it already. Calls no hook.
+    std::optional<BlockedRequest> grantFreeSlots(Queue &queue, const std::set<Ticket> &yieldedFor);
+    /// Grants slots to the requests of `range`; calls no hook. Returns false once no slot is left.
+    bool serveRange(Queue &queue, const std::vector<Queue::iterator> &range,
+                    const std::set<Ticket> &yieldedFor, std::optional<BlockedRequest> &blocked);
+    /// Refuses queued requests whose callers have given up.
+    void refuseExpiredRequests(const ServiceName &name);
     /// Refuses queued requests that are no longer expected to start before their callers give up,
     /// because slots were lost or requests that can start in time are served first.
     void refuseRequestsThatCannotStart(const ServiceName &name, Service &service);
@@ -275,6 +315,10 @@
     std::map<ServiceName, Service> services_;
     std::map<Ticket, GrantedSlot> grantedSlots_;
     std::size_t queuedCount_ = 0;
+    std::deque<Effect> dueEffects_;
+    std::set<Ticket> undecided_; ///< Requests for which yieldBatch() is being called.
+    int changeDepth_ = 0; ///< Nested calls of changeState().
+    int hooksCalled_ = 0; ///< 1 within callDueHooks().
 };
 
 } // namespace persimmonlb
--- a/persimmonlb/slots/slotqueue.cpp
+++ b/persimmonlb/slots/slotqueue.cpp
@@ -87,8 +87,8 @@
         .add("waiting", static_cast<std::int64_t>(waiting(request.service)))
         .add("usable_slots", static_cast<std::int64_t>(usableSlots(request.service)))
         .write();
-    hooks_.refuse(host,
-                  SlotRefusal{request.ticket, static_cast<std::uint64_t>(retryAfter.count())});
+    dueEffects_.push_back(SendRefusal{
+        host, SlotRefusal{request.ticket, static_cast<std::uint64_t>(retryAfter.count())}});
 }
 
 Milliseconds SlotBroker::reserveRetryDelay(const SlotRequest &request, Milliseconds wait)
@@ -130,68 +130,101 @@
     ++queuedCount_;
 }
 
-bool SlotBroker::serveRange(Queue &queue, Queue::iterator first, Queue::iterator last)
+bool SlotBroker::serveRange(Queue &queue, const std::vector<Queue::iterator> &range,
+                            const std::set<Ticket> &yieldedFor,
+                            std::optional<BlockedRequest> &blocked)
 {
-    while (first != last) {
-        const auto position = first++;
+    for (const Queue::iterator position : range) {
         if (tryGrant(position->host, position->request)) {
             queue.erase(position);
             --queuedCount_;
             continue;
         }
+        const bool excludesServers = !position->request.excluded.empty();
+        const Ticket ticket{position->host, position->request.ticket};
+        if (hooks_.yieldBatch && !yieldedFor.contains(ticket)) {
+            blocked = BlockedRequest{ticket, excludesServers};
+            return false;
+        }
         // A request that excludes servers does not block those behind it, which may use them.
-        if (position->request.excluded.empty()) {
+        if (!excludesServers) {
             return false;
         }
     }
     return true;
 }
 
-void SlotBroker::serveQueue(const ServiceName &name)
+std::optional<SlotBroker::BlockedRequest>
+SlotBroker::grantFreeSlots(Queue &queue, const std::set<Ticket> &yieldedFor)
 {
-    Queue &queue = services_[name].queue;
+    std::optional<BlockedRequest> blocked;
     const MonotonicTime now = clock_.monotonic();
     auto position = queue.begin();
     while (position != queue.end()) {
         const std::uint32_t priority = position->request.priority;
-        const auto end
-            = std::find_if(position, queue.end(), [priority](const WaitingRequest &waiting) {
-                  return waiting.request.priority != priority;
-              });
-        const auto inTime = std::find_if(
-            position, end, [now](const WaitingRequest &waiting) { return waiting.startBy >= now; });
-        // Serving may erase the element at `inTime`, so the end of the late range is kept as its
-        // last element.
-        const bool anyLate = inTime != position;
-        const auto lastLate = anyLate ? std::prev(inTime) : position;
-        if (!serveRange(queue, inTime, end)) {
+        std::vector<Queue::iterator> inTime;
+        std::vector<Queue::iterator> late;
+        for (; position != queue.end() && position->request.priority == priority; ++position) {
+            (position->startBy < now ? late : inTime).push_back(position);
+        }
+        if (!serveRange(queue, inTime, yieldedFor, blocked)
+            || !serveRange(queue, late, yieldedFor, blocked)) {
             break;
         }
-        if (anyLate && !serveRange(queue, position, std::next(lastLate))) {
+    }
+    return blocked;
+}
+
+bool SlotBroker::freeSlotOfBatch(const ServiceName &service)
+{
+    if (!hooks_.yieldBatch) {
+        return false;
+    }
+    const auto freed = hooks_.yieldBatch(service);
+    if (freed) {
+        releaseBatch(*freed);
+    }
+    return freed.has_value();
+}
+
+void SlotBroker::serveQueue(const ServiceName &name)
+{
+    Queue &queue = services_[name].queue;
+    std::set<Ticket> yieldedFor;
+    while (const auto blocked = grantFreeSlots(queue, yieldedFor)) {
+        yieldedFor.insert(blocked->ticket);
+        if (!freeSlotOfBatch(name) && !blocked->excludesServers) {
             break;
         }
-        position = end;
     }
     if (queue.empty() && hooks_.batchMayStart) {
-        hooks_.batchMayStart(name);
+        dueEffects_.emplace_back(OfferToBatch{name});
     }
 }
 
 void SlotBroker::tick()
+{
+    changeState([this] {
+        for (const ServiceName &name : services()) {
+            refuseExpiredRequests(name);
+            serveQueue(name);
+            refuseRequestsThatCannotStart(name, services_[name]);
+        }
+    });
+}
+
+void SlotBroker::refuseExpiredRequests(const ServiceName &name)
 {
     const MonotonicTime now = clock_.monotonic();
-    for (auto &[name, service] : services_) {
-        for (auto position = service.queue.begin(); position != service.queue.end();) {
-            if (now < position->giveUpAt) {
-                ++position;
-                continue;
-            }
-            refuse(position->host, position->request, expectedWait(name, service.queue.size()));
-            position = service.queue.erase(position);
-            --queuedCount_;
+    Queue &queue = services_[name].queue;
+    for (auto position = queue.begin(); position != queue.end();) {
+        if (now < position->giveUpAt) {
+            ++position;
+            continue;
         }
-        serveQueue(name);
-        refuseRequestsThatCannotStart(name, service);
+        refuse(position->host, position->request, expectedWait(name, queue.size()));
+        position = queue.erase(position);
+        --queuedCount_;
     }
 }
 
--- a/persimmonlb/slots/slotreentry_test.cpp
+++ b/persimmonlb/slots/slotreentry_test.cpp
@@ -203,7 +203,7 @@
         }
     }
 
-    void end(const Key &key)
+    void end(Key key)
     {
         held_.erase(key);
         waiting_.erase(key);
