Slots: test of requests ended inside a hook of SlotClient (fails)

Cause: SlotClient::setView() calls the request hook in a loop over the pending requests. Change: a test whose hook ends the request that it sends and the next one. Evidence: it ends with a memory access violation.

--- a/persimmonlb/slots/slotclient_test.cpp
+++ b/persimmonlb/slots/slotclient_test.cpp
@@ -61,6 +61,7 @@
     std::vector<SlotsHeld> heldReports;
     std::vector<SlotAnswer> answers;
     std::vector<std::pair<HostId, ServerLeaving>> leavingReports;
+    std::function<void(std::uint64_t ticket)> onRequest; ///< Called inside the hook.
     SlotClient client{SlotClientOptions{.self = HostId{"e"}},
                       Clock{.monotonic = [this] { return now; },
                             .wall =
@@ -71,6 +72,9 @@
                       SlotClientHooks{.request =
                                           [this](const HostId &to, const SlotRequest &request) {
                                               requests.emplace_back(to, request);
+                                              if (onRequest) {
+                                                  onRequest(request.ticket);
+                                              }
                                               return connected;
                                           },
                                       .end =
@@ -243,4 +247,26 @@
     BOOST_TEST(fixture.answers[0].server.value == "s1");
 }
 
+/// Guards against a walk over the pending requests that goes on with an erased one: a hook that
+/// sends a request may find that its caller is gone, or that another one is.
+BOOST_AUTO_TEST_CASE(asksNewLeaderForRemainingRequestsWhenHookEndsThem)
+{
+    Fixture fixture;
+    for (int i = 0; i < 6; ++i) {
+        fixture.requestSlot();
+    }
+    fixture.requests.clear();
+    fixture.onRequest = [&fixture](std::uint64_t ticket) {
+        fixture.client.end(ticket, SlotOutcome::Abandoned);
+        fixture.client.end(ticket + 1, SlotOutcome::Abandoned);
+    };
+    fixture.client.setView(Fixture::view(HostId{"b2"}, 2));
+    std::vector<std::uint64_t> asked;
+    for (const auto &[to, request] : fixture.requests) {
+        asked.push_back(request.ticket);
+    }
+    const std::vector<std::uint64_t> expected{1, 3, 5};
+    BOOST_TEST(asked == expected, boost::test_tools::per_element());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
