Slots: end requests inside hooks of SlotClient safely

Cause: loops over the pending requests and the leaving servers called hooks that may change them. Change: the loops walk over a copy and look each request up again. RelayService walks over copies already; limitBufferedBytes() calls no function within its walk.

--- a/persimmonlb/slots/slotclient.cpp
+++ b/persimmonlb/slots/slotclient.cpp
@@ -51,9 +51,17 @@
     reportLeavingServers();
     limits_.leaderChanged();
     reportLimits();
-    for (auto &[ticket, pending] : pending_) {
+    std::vector<std::uint64_t> tickets;
+    for (const auto &[ticket, pending] : pending_) {
         if (!pending.local) {
-            pending.queued = false;
+            tickets.push_back(ticket);
+        }
+    }
+    // The hook may end requests.
+    for (const std::uint64_t ticket : tickets) {
+        const auto pending = pending_.find(ticket);
+        if (pending != pending_.end() && !pending->second.local) {
+            pending->second.queued = false;
             requestFromBroker(ticket);
         }
     }
@@ -108,7 +116,9 @@
 
 void SlotClient::reportLeavingServers()
 {
-    for (const ServerLeaving &leaving : unreportedLeaving_) {
+    // The hook may add or remove leaving servers.
+    const std::vector<ServerLeaving> unreported = unreportedLeaving_;
+    for (const ServerLeaving &leaving : unreported) {
         if (!broker_.empty()) {
             hooks_.reportServerLeaving(broker_, leaving);
         }
@@ -315,10 +325,12 @@
     }
     if (leaving_.contains(grant.server, grant.bornMs)) {
         // The grant was sent before the broker received the notice that the server is leaving.
-        hooks_.end(from, SlotEnd{grant.ticket, SlotOutcome::Abandoned, 0});
         pending->second.request.excluded.push_back(grant.server);
         pending->second.queued = false;
-        requestFromBroker(grant.ticket);
+        hooks_.end(from, SlotEnd{grant.ticket, SlotOutcome::Abandoned, 0});
+        if (pending_.contains(grant.ticket)) {
+            requestFromBroker(grant.ticket);
+        }
         return;
     }
     acceptGrant(grant, false);
@@ -383,7 +395,9 @@
         if (!broker_.empty()) {
             hooks_.end(broker_, SlotEnd{ticket, SlotOutcome::Abandoned, 0});
         }
-        requestLocally(ticket);
+        if (pending_.contains(ticket)) {
+            requestLocally(ticket);
+        }
     }
     if (!broker_.empty() && now >= nextProbe_) {
         nextProbe_ = now + options_.probeInterval;
