--- a/persimmonlb/fleet/fleetview.h
+++ b/persimmonlb/fleet/fleetview.h
@@ -252,6 +252,7 @@
     std::vector<PromptPart> prompt;
     std::vector<ServerId> excluded;
     CustomerName customer = {}; ///< Empty: none.
+    double customerWeight = 0; ///< Share of the slots when they are short; 0 counts as 1.
     bool isCharged = false; ///< An earlier attempt was charged to the customer's quota.
     /// Requests of the customer that the host admitted without the leader since it asked last.
     std::uint32_t admittedLocally = 0;
--- a/persimmonlb/relay/internal/relaycall.cpp
+++ b/persimmonlb/relay/internal/relaycall.cpp
@@ -114,6 +114,7 @@
     slot.prompt = request_.prompt;
     slot.excluded = triedServers_;
     slot.customer = request_.customer;
+    slot.customerWeight = request_.customerWeight;
     slot.isCharged = quotaCharged_;
     ticket_ = service_.slots_.acquire(std::move(slot),
                                       [weak = weak_from_this()](const SlotAnswer &answer) {
--- a/persimmonlb/relay/relayrequest.h
+++ b/persimmonlb/relay/relayrequest.h
@@ -30,6 +30,9 @@
     std::vector<std::uint64_t> sharedParts;
     std::optional<std::uint64_t> lastEventId; ///< Last event that the caller has received.
     CustomerName customer = {}; ///< Empty: none.
+    /// Share of the slots of a service that has too few, relative to other customers; 0 counts
+    /// as 1.
+    double customerWeight = 0;
 
     bool operator==(const RelayRequest &) const = default;
 };
--- a/persimmonlb/wire/internal/messagefields.h
+++ b/persimmonlb/wire/internal/messagefields.h
@@ -406,6 +406,7 @@
     archive.list("pp", message.prompt);
     archive.list("x", message.excluded);
     archive.field("cu", message.customer);
+    archive.rate("cw", message.customerWeight);
     archive.field("ch", message.isCharged);
     archive.field("al", message.admittedLocally);
 }
