--- a/persimmonlb/slots/slotreentry_test.cpp
+++ b/persimmonlb/slots/slotreentry_test.cpp
@@ -192,6 +192,10 @@
         if (below(3) == 0) {
             request.excluded = {ServerId{"s" + std::to_string(below(4))}};
         }
+        if (below(2) == 0) {
+            request.customer = CustomerName{"c" + std::to_string(below(3))};
+            request.customerWeight = static_cast<double>(below(3));
+        }
         waiting_.insert(key);
         broker_.request(key.first, request);
     }
