--- a/persimmonlb/slots/fairload_test.cpp
+++ b/persimmonlb/slots/fairload_test.cpp
@@ -293,6 +293,7 @@
         behind.run();
         Totals before = usual.others();
         Totals with = hot.others();
+        const double usualWaitMs = before.p99WaitMs();
         const double waitMs = with.p99WaitMs();
         Totals least = behind.others();
         const double leastWaitMs = least.p99WaitMs();
@@ -301,7 +302,7 @@
                                    << before.refused << " and " << with.refused << ", p99 wait "
                                    << waitMs << ", behind others " << leastWaitMs << " ms, late "
                                    << with.late << ", behind others " << leastLate << ", usually " << before.late
-                                   << ", usual p99 " << before.p99WaitMs() << " ms");
+                                   << ", usual p99 " << usualWaitMs << " ms");
         BOOST_TEST_CONTEXT("seed " << seed)
         {
             BOOST_TEST(before.offered == with.offered);
