Retirement: test of a member whose name the leader has not heard (fails)

Cause: StorageRole::isRetired() takes a member whose host has not reported to this leader for another store. Change: the decision moves unchanged to hasLeftGroup() beside GroupCare, with a test. Evidence: 2 checks fail, for a host that has not reported and for one without a name.

--- a/persimmonlb/fleetnode/groupcare.cpp
+++ b/persimmonlb/fleetnode/groupcare.cpp
@@ -27,6 +27,16 @@
     return VoteReply{.term = question->term, .preVote = true, .granted = true};
 }
 
+bool hasLeftGroup(const GroupStatus &status, const std::map<HostId, ReportedStore> &stores,
+                  const std::string &name)
+{
+    return !status.changeInProgress
+        && std::ranges::none_of(status.members, [&](const MemberStatus &member) {
+               const auto store = stores.find(hostOfMember(member.host));
+               return store != stores.end() && store->second.store.name == name;
+           });
+}
+
 HostId hostOfMember(const HostId &member)
 {
     return HostId{member.value.substr(0, member.value.find('#'))};
--- a/persimmonlb/fleetnode/groupcare.h
+++ b/persimmonlb/fleetnode/groupcare.h
@@ -75,6 +75,11 @@
 std::optional<VoteReply> replyOfFormerMember(const HostId &host, const HostId &former,
                                              const PeerBody &body);
 
+/// True if no member of the group is, or may be, the store of this name. A member whose host has
+/// not reported its name to this leader may be.
+bool hasLeftGroup(const GroupStatus &status, const std::map<HostId, ReportedStore> &stores,
+                  const std::string &name);
+
 /// The host part of a member id: "10.0.0.1" of "10.0.0.1#5f3a".
 HostId hostOfMember(const HostId &member);
 
--- a/persimmonlb/fleetnode/groupcare_test.cpp
+++ b/persimmonlb/fleetnode/groupcare_test.cpp
@@ -175,4 +175,18 @@
     BOOST_TEST(!replyOfFormerMember(host, former, AppendRequest{}));
 }
 
+/// Guards against a retirement that is reported as completed after a restart of all stores, since
+/// the new leader has not heard the name of the member that is to leave.
+BOOST_AUTO_TEST_CASE(memberWithUnknownNameHasNotLeftGroup)
+{
+    Bench bench;
+    BOOST_TEST(!hasLeftGroup(bench.status, bench.stores, "store-h3"));
+    BOOST_TEST(hasLeftGroup(bench.status, bench.stores, "store-h4"));
+    bench.stores.erase(HostId{"h3"});
+    BOOST_TEST(!hasLeftGroup(bench.status, bench.stores, "store-h3"));
+    bench.hear("h3", "h3", false);
+    bench.stores[HostId{"h3"}].store.name.clear();
+    BOOST_TEST(!hasLeftGroup(bench.status, bench.stores, "store-h3"));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/persimmonlb/fleetnode/storageleading.cpp
+++ b/persimmonlb/fleetnode/storageleading.cpp
@@ -514,17 +514,7 @@
     if (!control_->state()->retiredStores().contains(name)) {
         return makeError(ResultCode::NotFound, "not asked to leave: " + name);
     }
-    const GroupStatus status = control_->status();
-    if (status.changeInProgress) {
-        return false;
-    }
-    for (const MemberStatus &member : status.members) {
-        const auto store = registry_.reportedStores().find(hostOfMember(member.host));
-        if (store != registry_.reportedStores().end() && store->second.store.name == name) {
-            return false;
-        }
-    }
-    return true;
+    return hasLeftGroup(control_->status(), registry_.reportedStores(), name);
 }
 
 } // namespace persimmonlb
