Retirement: a member whose name the leader has not heard may be the retiring store

Cause: after a restart of all stores the new leader reported a retirement as completed before the store had told its name. Change: hasLeftGroup() counts a member of unknown name as the store that is asked for. Evidence: memberWithUnknownNameHasNotLeftGroup failed before and passes; fleet_node_test passes.

--- a/persimmonlb/fleetnode/groupcare.cpp
+++ b/persimmonlb/fleetnode/groupcare.cpp
@@ -33,7 +33,8 @@
     return !status.changeInProgress
         && std::ranges::none_of(status.members, [&](const MemberStatus &member) {
                const auto store = stores.find(hostOfMember(member.host));
-               return store != stores.end() && store->second.store.name == name;
+               return store == stores.end() || store->second.store.name.empty()
+                   || store->second.store.name == name;
            });
 }
 
