--- a/persimmonlb/fleet/serverlife_test.cpp
+++ b/persimmonlb/fleet/serverlife_test.cpp
@@ -245,4 +245,30 @@
     BOOST_TEST(first.announce(announcement(firstStart, 21)));
 }
 
+/// Guards against a sound server that is kept out for two minutes: a call that ends its earlier
+/// start was held up by a partition and arrives after the later start was announced.
+BOOST_AUTO_TEST_CASE(laterStartIsListedAgainAfterHeldUpEndOfEarlierOne)
+{
+    MonotonicTime now;
+    FleetRegistry registry(FleetRegistryOptions{},
+                           Clock{.monotonic = [&now] { return now; },
+                                 .wall =
+                                     [] {
+                                         return WallTime();
+                                     }});
+    registry.announce(announcement(firstStart, 1));
+    registry.serverGone(ServerId{"s"});
+    registry.announce(announcement(laterStart, 1));
+    BOOST_TEST(registry.servers().size() == 1U);
+    registry.serverGone(ServerId{"s"});
+    BOOST_TEST(registry.servers().empty());
+    constexpr std::uint64_t seconds = 12;
+    for (std::uint64_t second = 1; second <= seconds; ++second) {
+        now += Milliseconds(1000);
+        registry.announce(announcement(laterStart, 1 + second));
+    }
+    BOOST_REQUIRE_EQUAL(registry.servers().size(), 1U);
+    BOOST_TEST(registry.servers()[0].bornMs == laterStart);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
