--- a/persimmonlb/slots/fairload_test.cpp
+++ b/persimmonlb/slots/fairload_test.cpp
@@ -301,8 +301,8 @@
         BOOST_TEST_MESSAGE("seed " << seed << ": others " << with.offered << " requests, refused "
                                    << before.refused << " and " << with.refused << ", p99 wait "
                                    << waitMs << ", behind others " << leastWaitMs << " ms, late "
-                                   << with.late << ", behind others " << leastLate << ", usually " << before.late
-                                   << ", usual p99 " << usualWaitMs << " ms");
+                                   << with.late << ", behind others " << leastLate << ", usually "
+                                   << before.late << ", usual p99 " << usualWaitMs << " ms");
         BOOST_TEST_CONTEXT("seed " << seed)
         {
             BOOST_TEST(before.offered == with.offered);
--- a/persimmonlb/slots/slotreentry_test.cpp
+++ b/persimmonlb/slots/slotreentry_test.cpp
@@ -203,11 +203,14 @@
     void endOne(const std::set<Key> &from)
     {
         if (!from.empty()) {
-            end(*std::next(from.begin(), static_cast<std::ptrdiff_t>(below(from.size()))));
+            // end() erases the element.
+            const Key key
+                = *std::next(from.begin(), static_cast<std::ptrdiff_t>(below(from.size())));
+            end(key);
         }
     }
 
-    void end(Key key)
+    void end(const Key &key)
     {
         held_.erase(key);
         waiting_.erase(key);
