--- a/persimmonlb/slots/slotbroker.h
+++ b/persimmonlb/slots/slotbroker.h
@@ -1,17 +1,21 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <list>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_set>
+#include <variant>
 #include <vector>
 
 #include "persimmonlb/base/clock.h"
 #include "persimmonlb/base/ids.h"
 #include "persimmonlb/fleet/fleetview.h"
+#include "persimmonlb/slots/fairshares.h"
 #include "persimmonlb/slots/prefixcache.h"
 #include "persimmonlb/slots/requestlimiter.h"
 #include "persimmonlb/slots/serverspeed.h"
@@ -65,12 +69,15 @@
     bool operator==(const BatchRunSlot &) const = default;
 };
 
+/// The hooks may call the broker. They are called after its state is consistent, never while it
+/// iterates over it; except for yieldBatch(), one after the other in the order of the decisions.
 struct SlotBrokerHooks {
     /// Delivers a grant. Also called, with a grant without a server, when a request is queued.
     std::function<void(const HostId &to, const SlotGrant &grant)> grant;
     std::function<void(const HostId &to, const SlotRefusal &refusal)> refuse;
     /// Ends the batch run of the service that loses the least work and returns its slot, which the
-    /// broker then counts as free. Returns nothing when no run may be ended.
+    /// broker then counts as free. Returns nothing when no run may be ended. Other hooks that are
+    /// due because of broker calls inside this one are called later.
     std::function<std::optional<BatchRunSlot>(const ServiceName &service)> yieldBatch;
     /// Called when no request of the service is queued, so that batch runs may take free slots.
     std::function<void(const ServiceName &service)> batchMayStart;
@@ -109,6 +116,9 @@
 /// refuses it when the expected wait exceeds its objective. Batch runs use free slots and are
 /// ended when online requests need them.
 ///
+/// Queued requests of one priority that can start in time are served by customer (FairShares); a
+/// customer's requests, and all of them where requests name no customer, by start deadline.
+///
 /// The state is not persisted: entry hosts report the slots that they hold to a new broker. Not
 /// thread-safe. All times come from the clock that is passed in.
 class SlotBroker
@@ -131,7 +141,7 @@
     [[nodiscard]] bool allowsRequest(const ServerId &server) const;
     /// Counts a request that another broker granted against the limit of its server.
     void countRequest(const ServerId &server);
-    /// Releases a slot, or removes a queued request.
+    /// Releases a slot, or removes a queued request. No hook is called for this ticket afterwards.
     void end(const HostId &from, const SlotEnd &end);
     /// Replaces the slots and drops the queued requests of an entry host.
     void setHeldSlots(const HostId &from, const SlotsHeld &held);
@@ -199,6 +209,15 @@
         SlotRequest request;
         MonotonicTime startBy;
         MonotonicTime giveUpAt;
+        bool isShared = false; ///< Counted in the shares of its service.
+    };
+    /// What a granted slot was charged to its customer.
+    struct SlotCharge {
+        ServiceName service;
+        std::uint32_t priority = 0;
+        CustomerName customer;
+        double weight = 0;
+        double estimateMs = 0;
     };
     /// Key of a request: its entry host and the ticket number that this host chose.
     struct Ticket {
@@ -212,10 +231,27 @@
         ServerId server;
         std::uint64_t tokens = 0;
         MonotonicTime grantedAt;
+        std::optional<SlotCharge> charge = {};
+    };
+    struct SendGrant {
+        HostId to;
+        SlotGrant grant;
     };
+    struct SendRefusal {
+        HostId to;
+        SlotRefusal refusal;
+    };
+    struct OfferToBatch {
+        ServiceName service;
+    };
+    /// A hook call that is due.
+    using Effect = std::variant<SendGrant, SendRefusal, OfferToBatch>;
     using Queue = std::list<WaitingRequest>;
     struct Service {
         Queue queue; ///< Ordered by priority and startBy.
+        /// By priority; only where a request named its customer. Apart, as the requests of a higher
+        /// priority are served first whatever their customers' virtual times are.
+        std::map<std::uint32_t, FairShares> shares;
         double averageHoldMs = 0;
         /// Slots for retrying callers are reserved up to this time.
         MonotonicTime nextReservation;
@@ -264,7 +300,32 @@
     [[nodiscard]] Milliseconds expectedWait(const ServiceName &service, std::size_t ahead) const;
     /// Returns the number of queued requests that are served before `request`.
     [[nodiscard]] std::size_t queuedAhead(const Service &service, const SlotRequest &request) const;
+    /// Makes a change and then calls the hooks that are due, unless an outer call does so.
+    void changeState(const std::function<void()> &change);
+    void callDueHooks();
+    void callHook(const Effect &effect);
+    /// Drops the due answers to a host, or only those to one of its tickets.
+    void dropAnswers(const HostId &host, std::optional<std::uint64_t> ticket);
+    void decide(const HostId &from, const SlotRequest &request);
+    /// Grants a slot if a server has a free one. Calls no hook.
     bool tryGrant(const HostId &host, const SlotRequest &request);
+    /// Returns the shares of the requests that compete with `request`; nothing if no customer is
+    /// named.
+    [[nodiscard]] FairShares *sharesFor(const SlotRequest &request);
+    void dropIdleShares(Service &service, std::uint32_t priority);
+    /// Corrects the charge of a slot that is released or lost.
+    void settleCharge(const GrantedSlot &held);
+    /// Removes a queued request and returns the next one.
+    Queue::iterator removeFromQueue(Service &service, Queue::iterator position);
+    /// Removes the queued requests of a host, or only that of one of its tickets.
+    void removeFromQueues(const HostId &host, std::optional<std::uint64_t> ticket);
+    /// Sorts requests of one priority, given by start deadline, into the order of their customers'
+    /// shares.
+    void sortByShare(const Service &service, std::vector<Queue::iterator> &requests) const;
+    [[nodiscard]] std::size_t queuedAheadByShare(const Service &service, const SlotRequest &request,
+                                                 MonotonicTime now) const;
+    /// Ends a batch run to free a slot. Calls yieldBatch(): no iterator may be in use.
+    bool freeSlotOfBatch(const ServiceName &service);
     void grant(const HostId &host, const SlotRequest &request, Server &server);
     void refuse(const HostId &host, const SlotRequest &request, Milliseconds wait);
     /// Returns the delay after which the caller of a refused request should retry, and reserves
@@ -274,8 +335,20 @@
     /// Grants free slots by priority, and within a priority first to requests that can still start
     /// in time: serving a late one first would make the next ones late as well.
     void serveQueue(const ServiceName &service);
-    /// Grants slots to the requests of [first, last). Returns false once no slot is left.
-    bool serveRange(Queue &queue, Queue::iterator first, Queue::iterator last);
+    /// A queued request that no server accepts.
+    struct BlockedRequest {
+        Ticket ticket;
+        bool excludesServers = false;
+    };
+    /// Grants free slots to queued requests. Returns the first one that no server accepts, unless a
+    /// batch run was ended for it already. Calls no hook.
+    std::optional<BlockedRequest> grantFreeSlots(Service &service,
+                                                 const std::set<Ticket> &yieldedFor);
+    /// Grants slots to the requests of `range`; calls no hook. Returns false once no slot is left.
+    bool serveRange(Service &service, const std::vector<Queue::iterator> &range,
+                    const std::set<Ticket> &yieldedFor, std::optional<BlockedRequest> &blocked);
+    /// Refuses queued requests whose callers have given up.
+    void refuseExpiredRequests(const ServiceName &name);
     /// Refuses queued requests that are no longer expected to start before their callers give up,
     /// because slots were lost or requests that can start in time are served first.
     void refuseRequestsThatCannotStart(const ServiceName &name, Service &service);
@@ -296,6 +369,10 @@
     std::map<ServiceName, Service> services_;
     std::map<Ticket, GrantedSlot> grantedSlots_;
     std::size_t queuedCount_ = 0;
+    std::deque<Effect> dueEffects_;
+    std::set<Ticket> undecided_; ///< Requests for which yieldBatch() is being called.
+    int changeDepth_ = 0; ///< Nested calls of changeState().
+    int hooksCalled_ = 0; ///< 1 within callDueHooks().
 };
 
 } // namespace persimmonlb
