--- a/persimmonlb/fleettree/parentchoice_test.cpp
+++ b/persimmonlb/fleettree/parentchoice_test.cpp
@@ -143,14 +143,13 @@
         constexpr Milliseconds tick{20};
         MonotonicTime nextReply = cutAt;
         HostId asked = bench.choice.parent();
-        while (cutOff.contains(bench.choice.parent())
-               && bench.now - cutAt < Milliseconds(10000)) {
+        while (cutOff.contains(bench.choice.parent()) && bench.now - cutAt < Milliseconds(10000)) {
             // A host reports at once to another parent.
             if (bench.now >= nextReply || bench.choice.parent() != asked) {
                 asked = bench.choice.parent();
                 nextReply = bench.now + reportInterval;
-                bench.choice.heard(
-                    asked, std::chrono::duration_cast<Milliseconds>(bench.now - cutAt));
+                bench.choice.heard(asked,
+                                   std::chrono::duration_cast<Milliseconds>(bench.now - cutAt));
             }
             bench.now += tick;
             bench.choice.tick();
