Storage: a leader tells the hosts that connect after its election

The group had a leader with all its data 1.1 s after the power came back, and no other host learned of it.

Cause: a new leader sent its view once, to the seeds and the hosts of its last view (none after a restart). A message to a host that is not connected is dropped, and the feed counted it as sent. A host without a view asks the seeds alone, and the leader no longer needs to be one of them.

Change: LeaderAnnouncement knows which hosts must learn of the leader (seeds, members, hosts of the last view). One of them that is connected to the leader for 0.1 s and does not report to it is sent the whole view, once a connection. A host that knows the leader reports as soon as both are connected, so that an ordinary change of leader sends nothing more than before. Members belong to these hosts now: a member whose seeds are all gone learned of the leader in the log, never of its view.

--- a/persimmonlb/fleetnode/fleetnode_test.cpp
+++ b/persimmonlb/fleetnode/fleetnode_test.cpp
@@ -1,3 +1,5 @@
+#include <algorithm>
+#include <array>
 #include <set>
 #include <stdexcept>
 
@@ -60,6 +62,33 @@
     BOOST_REQUIRE(fleet.formGroup());
 }
 
+/// Replaces the members 2, 3 and 4, which all hosts have as seeds, by 5, 6 and 7, and ends all of
+/// them.
+void moveGroup(LoopbackFleet &fleet)
+{
+    for (const int number : {5, 6, 7}) {
+        fleet.startStore(number, false);
+    }
+    for (const int number : {2, 3, 4}) {
+        const std::string name = "host-" + std::to_string(number);
+        const auto isRetired = [&fleet, &name] {
+            if (fleet.leader() == 0) {
+                return false;
+            }
+            StorageRole &leader = *fleet.node(fleet.leader()).storage();
+            const Outcome<bool> retired = leader.isRetired(name);
+            if (!retired.ok()) {
+                leader.retire(name, [](const Outcome<Done> & /*taken*/) {});
+            }
+            return retired.ok() && retired.value();
+        };
+        BOOST_REQUIRE(fleet.runUntil(isRetired));
+    }
+    for (const int number : {2, 3, 4, 5, 6, 7}) {
+        fleet.kill(number);
+    }
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(FleetNodeTest)
@@ -194,6 +223,51 @@
     BOOST_TEST(fleet.runUntil([&fleet] { return fleet.leader() != 0; }));
 }
 
+/// Guards against a fleet that stays without a leader after all hosts lost power, because the new
+/// leader told only the seeds that were connected when it was elected, and none of them is a
+/// member.
+BOOST_AUTO_TEST_CASE(leaderIsKnownToSeedsThatConnectAfterItsElection)
+{
+    LoopbackFleet fleet;
+    formGroup(fleet);
+    BOOST_REQUIRE(fleet.propose(fleet.leader(), routes(7)));
+    moveGroup(fleet);
+    for (const int number : {5, 6, 7}) {
+        fleet.startStore(number, false);
+    }
+    BOOST_REQUIRE(fleet.runUntil([&fleet] { return fleet.leader() != 0; }));
+    for (const int number : {2, 3, 4}) {
+        fleet.startStore(number, false);
+    }
+    fleet.startEntry(9);
+    BOOST_REQUIRE(fleet.runUntil([&fleet] { return fleet.node(9).gateway()->isReady(); }));
+    BOOST_TEST(fleet.node(9).gateway()->routes()->version() == 7U);
+}
+
+/// Guards against a member that follows the leader in the log and still looks for it among the
+/// seeds: none of the seeds of the settings needs to be reachable.
+BOOST_AUTO_TEST_CASE(membersReportToTheLeaderThatTheyFollow)
+{
+    LoopbackFleet fleet;
+    formGroup(fleet);
+    for (const int number : {2, 3, 4}) {
+        fleet.kill(number);
+    }
+    fleet.setSeeds({9});
+    for (const int number : {2, 3, 4}) {
+        fleet.startStore(number, false);
+    }
+    BOOST_REQUIRE(fleet.runUntil([&fleet] { return fleet.leader() != 0; }));
+    const auto allKnowLeader = [&fleet] {
+        const int leader = fleet.leader();
+        return leader != 0 && std::ranges::all_of(std::array{2, 3, 4}, [&](int number) {
+                   return fleet.node(number).status().view.leader
+                       == fleet.node(leader).settings().host;
+               });
+    };
+    BOOST_TEST(fleet.runUntil(allKnowLeader));
+}
+
 BOOST_AUTO_TEST_CASE(AnExceptionInTheStoringPartRestartsItAlone)
 {
     LoopbackFleet fleet;
--- a/persimmonlb/fleetnode/storageleading.cpp
+++ b/persimmonlb/fleetnode/storageleading.cpp
@@ -204,6 +204,7 @@
     broker_.reset();
     saver_.reset();
     if (!leads) {
+        announcement_.end();
         runner_.stop();
         inspector_.end();
         return;
@@ -218,16 +219,34 @@
     care_.leadershipBegan(control_->status());
     publishedRegistry_ = 0;
     pushedRoutes_ = 0;
-    const FleetView &last = deps_.lastView();
-    std::vector<HostId> stores = seedHosts(deps_.settings);
-    for (const FleetStore &store : last.stores) {
-        stores.push_back(store.host);
-    }
-    std::erase(stores, deps_.settings.host);
-    feed_.follow(stores, positionOf(last));
+    const std::vector<HostId> stores = hostsToInform();
+    feed_.follow(stores, positionOf(deps_.lastView()));
+    announcement_.begin(stores);
     publishView();
 }
 
+std::vector<HostId> StorageRole::hostsToInform() const
+{
+    std::vector<HostId> hosts = seedHosts(deps_.settings);
+    for (const HostId &member : members()) {
+        hosts.push_back(member);
+    }
+    for (const FleetStore &store : deps_.lastView().stores) {
+        hosts.push_back(store.host);
+    }
+    std::erase(hosts, deps_.settings.host);
+    return hosts;
+}
+
+void StorageRole::informHosts()
+{
+    const std::vector<HostId> uninformed = announcement_.takeUninformed();
+    for (const HostId &host : uninformed) {
+        LogLine(LogLevel::Info, "leader_announced").add("to", host.value).write();
+    }
+    feed_.sendWholeView(uninformed);
+}
+
 void StorageRole::adoptFleet()
 {
     const FleetView &last = deps_.lastView();
@@ -414,6 +433,7 @@
 void StorageRole::leaderTick()
 {
     proveRoutes();
+    informHosts();
     pushRoutes();
     if (deps_.clock.monotonic() >= nextPublish_) {
         publishView();
--- a/persimmonlb/fleetnode/storagerole.cpp
+++ b/persimmonlb/fleetnode/storagerole.cpp
@@ -33,6 +33,7 @@
     , registry_(FleetRegistryOptions{}, deps_.clock)
     , attachments_(AttachmentsOptions{}, deps_.clock)
     , feed_(ViewFeedOptions{}, deps_.clock, feedHooks())
+    , announcement_(LeaderAnnouncementOptions{}, deps_.clock)
     , care_(GroupCareOptions{.lossesBorne = deps_.settings.lossesBorne}, deps_.clock)
     , quotas_(deps_.settings.customers.quotas, deps_.clock)
     , broker_(SlotBrokerOptions{.availabilityZone = deps_.settings.availabilityZone,
@@ -256,6 +257,7 @@
 
 void StorageRole::takeReport(const HostId &from, const HostReport &report)
 {
+    announcement_.hostReported(from);
     if (report.leaving) {
         // It is dropped when it was silent for a while: its next parent must have named it.
         feed_.reported(from, report);
@@ -313,6 +315,7 @@
 
 void StorageRole::hostConnected(const HostId &host)
 {
+    announcement_.hostConnected(host);
     if (host == leader()) {
         attachments_.forgetTold();
     }
@@ -323,6 +326,7 @@
     registry_.hostLost(host);
     attachments_.hostLost(host);
     feed_.hostLost(host);
+    announcement_.hostLost(host);
     reports_.erase(host);
     quotas_.hostLost(host);
     broker_.hostLost(host);
--- a/persimmonlb/fleetnode/storagerole.h
+++ b/persimmonlb/fleetnode/storagerole.h
@@ -26,6 +26,7 @@
 #include "persimmonlb/fleetnode/groupcare.h"
 #include "persimmonlb/fleetnode/memberidentity.h"
 #include "persimmonlb/fleettree/attachments.h"
+#include "persimmonlb/fleettree/leaderannouncement.h"
 #include "persimmonlb/fleettree/viewfeed.h"
 #include "persimmonlb/http/client.h"
 #include "persimmonlb/quotas/quotaledger.h"
@@ -133,6 +134,10 @@
     ViewFeedHooks feedHooks();
     /// Makes the next view, when servers or hosts have changed since the last one.
     void publishView();
+    /// Hosts that may not know who leads, and that others ask for the leader.
+    [[nodiscard]] std::vector<HostId> hostsToInform() const;
+    /// Sends the view to hosts that do not know that this one leads.
+    void informHosts();
     void pushRoutes();
     void pushCrashes();
     /// Tells the broker of the servers and of what the routes say of them.
@@ -180,6 +185,7 @@
     FleetRegistry registry_;
     Attachments attachments_;
     ViewFeed feed_;
+    LeaderAnnouncement announcement_;
     MonotonicTime nextAttachments_;
     std::map<HostId, HeardReport> reports_; ///< For operators; of hosts that report here.
     GroupCare care_;
--- a/persimmonlb/fleettree/viewfeed.cpp
+++ b/persimmonlb/fleettree/viewfeed.cpp
@@ -54,6 +54,14 @@
     }
 }
 
+void ViewFeed::sendWholeView(const std::vector<HostId> &hosts)
+{
+    for (const HostId &host : hosts) {
+        followers_.erase(host);
+    }
+    follow(hosts, ViewPosition());
+}
+
 void ViewFeed::hostLost(const HostId &host)
 {
     followers_.erase(host);
--- a/persimmonlb/fleettree/viewfeed.h
+++ b/persimmonlb/fleettree/viewfeed.h
@@ -40,6 +40,8 @@
     void reported(const HostId &from, const HostReport &report);
     /// Hosts that follow from now on and have this view as far as it is known.
     void follow(const std::vector<HostId> &hosts, ViewPosition have);
+    /// Hosts that follow from now on and may have no view: the next tick sends it whole.
+    void sendWholeView(const std::vector<HostId> &hosts);
     void hostLost(const HostId &host);
 
     /// The view of this host was changed; it is the one after the change already.
