Group care: a new voter comes from the zone with the fewest voters

The loss of that zone would have been the loss of the group: nothing is acknowledged, and bulk items wait, until it is back.

Cause: GroupCare took the first unused store of a map that is ordered by address, and addresses are given out by zone.

Change: of the unused stores, one in the zone with the fewest remaining voters joins; a store on the host of the lost one still goes first. A group that stands in one zone already is not moved: only its next change spreads it.

Evidence: newVoterComesFromZoneWithFewestVoters failed before (h4 of the crowded zone for h6 and h7) and passes.

--- a/persimmonlb/fleetnode/groupcare.cpp
+++ b/persimmonlb/fleetnode/groupcare.cpp
@@ -14,6 +14,41 @@
     return std::ranges::find(status.members, member, &MemberStatus::host) != status.members.end();
 }
 
+/// Voters of each availability zone but for one that leaves the group. Those whose host has not
+/// reported count nowhere.
+std::map<AvailabilityZone, std::size_t> votersByZone(const GroupStatus &status,
+                                                     const std::map<HostId, ReportedStore> &stores,
+                                                     const HostId &leaving)
+{
+    std::map<AvailabilityZone, std::size_t> voters;
+    for (const MemberStatus &member : status.members) {
+        const auto store = stores.find(hostOfMember(member.host));
+        if (member.voter && member.host != leaving && store != stores.end()) {
+            ++voters[store->second.store.availabilityZone];
+        }
+    }
+    return voters;
+}
+
+/// The unused store that joins for `leaving` (empty: as one more). One on the same host keeps the
+/// group as it was; else the zone with the fewest voters goes first, so that the loss of a zone
+/// costs as few voters as possible.
+HostId chooseFresh(const std::vector<HostId> &fresh, const HostId &leaving,
+                   const GroupStatus &status, const std::map<HostId, ReportedStore> &stores)
+{
+    const auto sameHost = std::ranges::find_if(fresh, [&leaving](const HostId &member) {
+        return hostOfMember(member) == hostOfMember(leaving);
+    });
+    if (sameHost != fresh.end()) {
+        return *sameHost;
+    }
+    const auto voters = votersByZone(status, stores, leaving);
+    return *std::ranges::min_element(fresh, {}, [&](const HostId &member) {
+        const auto zone = voters.find(stores.at(hostOfMember(member)).store.availabilityZone);
+        return zone == voters.end() ? 0 : zone->second;
+    });
+}
+
 } // namespace
 
 std::optional<VoteReply> replyOfFormerMember(const HostId &host, const HostId &former,
@@ -126,14 +161,11 @@
         const auto voters = static_cast<std::uint32_t>(
             std::ranges::count_if(status.members, &MemberStatus::voter));
         if (voters < 2 * options_.lossesBorne + 1) {
-            advice.swap = MemberSwap{HostId(), fresh.front()};
+            advice.swap = MemberSwap{HostId(), chooseFresh(fresh, HostId(), status, stores)};
         }
         return advice;
     }
-    const auto sameHost = std::ranges::find_if(fresh, [&lost](const HostId &member) {
-        return hostOfMember(member) == hostOfMember(*lost);
-    });
-    advice.swap = MemberSwap{*lost, sameHost == fresh.end() ? fresh.front() : *sameHost};
+    advice.swap = MemberSwap{*lost, chooseFresh(fresh, *lost, status, stores)};
     return advice;
 }
 
--- a/persimmonlb/fleetnode/groupcare.h
+++ b/persimmonlb/fleetnode/groupcare.h
@@ -45,7 +45,8 @@
 
 /// Keeps a group at its number of voters without an operator: a voter whose disk was replaced,
 /// that is silent or was asked to retire is replaced by an unused store, and unused stores are
-/// added until the group bears its losses. One change at a time; it never shrinks. Not thread-safe.
+/// added until the group bears its losses. New voters come from the availability zone with the
+/// fewest voters. One change at a time; it never shrinks. Not thread-safe.
 class GroupCare
 {
 public:
--- a/persimmonlb/fleetnode/groupcare_test.cpp
+++ b/persimmonlb/fleetnode/groupcare_test.cpp
@@ -159,6 +159,35 @@
     BOOST_TEST(!bench.advise().swap.has_value());
 }
 
+/// Guards against a group that a single zone can take away: the first unused store of the list was
+/// taken, and hosts of one zone stand next to each other there.
+BOOST_AUTO_TEST_CASE(newVoterComesFromZoneWithFewestVoters)
+{
+    Bench bench;
+    const auto hear = [&bench](const std::string &host, const std::string &zone, bool unused) {
+        bench.hear(host, host, unused);
+        bench.stores[HostId{host}].store.availabilityZone = AvailabilityZone{zone};
+    };
+    hear("h1", "a", false);
+    hear("h2", "b", false);
+    hear("h3", "c", false);
+    hear("h4", "a", true);
+    hear("h5", "b", true);
+    hear("h6", "c", true);
+    // Instead of one of zone c.
+    bench.retired.insert("store-h3");
+    BOOST_REQUIRE(bench.advise().swap.has_value());
+    BOOST_TEST(bench.advise().swap->fresh.value == "h6");
+    bench.retired.clear();
+    // As one more: d has none.
+    hear("h7", "d", true);
+    GroupCare two(GroupCareOptions{.lossesBorne = 2}, bench.clock());
+    two.leadershipBegan(bench.status);
+    const GroupAdvice advice = two.advise(bench.status, bench.stores, bench.retired);
+    BOOST_REQUIRE(advice.swap.has_value());
+    BOOST_TEST(advice.swap->fresh.value == "h7");
+}
+
 /// Cold start with one store wiped: the others need not wait for a leader that it could have been.
 BOOST_AUTO_TEST_CASE(AHostSaysThatItsFormerMemberLeadsNoMore)
 {
