Mesh: connections that prove nothing are bounded in size and number

Cause: the websocket library takes 16,000 bytes of header lines for each connection and keeps every field as a node of a map. Our bound of 256 connections without a proof began after the upgrade. It refused whoever came later, so that strangers could also keep peers out.

Change: an upgrade request may have 2,048 bytes (a peer's has some 250). Of more than 512 connections before their upgrade, and of as many that have not proved the key, the oldest are closed: a peer is through within some round trips, and it dials again.

--- a/persimmonlb/wire/internal/meshcore.cpp
+++ b/persimmonlb/wire/internal/meshcore.cpp
@@ -13,7 +13,6 @@
 {
 
 constexpr Milliseconds refusalLogInterval{1000};
-constexpr std::size_t maxUnprovedLinks = 256;
 /// What a message that waits for the decision thread takes besides its bytes.
 constexpr std::uint64_t deliveryOverheadBytes = 256;
 
@@ -56,7 +55,8 @@
            .closed =
                [this](LinkId id, const std::string &reason) {
                    closed(id, reason);
-               }}))
+               }},
+          options_.maxUnprovedConnections))
 {
 }
 
@@ -122,11 +122,7 @@
 void MeshCore::opened(LinkId id, bool incoming)
 {
     if (incoming) {
-        const std::size_t unproved = links_.size() - active_.size();
-        if (unproved >= maxUnprovedLinks) {
-            endpoint_->close(id);
-            return;
-        }
+        makeRoomForUnproved();
         Link link{.incoming = true,
                   .handshake = Handshake::accept({options_.self, options_.sharedKey}, nonces_),
                   .lastHeard = std::chrono::steady_clock::now(),
@@ -143,6 +139,24 @@
     }
 }
 
+/// Drops the oldest incoming link that has not proved the key, if there are as many as may be.
+void MeshCore::makeRoomForUnproved()
+{
+    std::size_t unproved = 0;
+    std::optional<LinkId> oldest;
+    for (const auto &[id, link] : links_) {
+        if (!link.incoming || link.handshake.done()) {
+            continue;
+        }
+        ++unproved;
+        // Numbers rise.
+        oldest = std::min(id, oldest.value_or(id));
+    }
+    if (oldest && unproved >= options_.maxUnprovedConnections) {
+        refuse(*oldest, "too many connections that have not proved the key");
+    }
+}
+
 void MeshCore::received(LinkId id, std::string bytes)
 {
     const auto found = links_.find(id);
--- a/persimmonlb/wire/internal/meshcore.h
+++ b/persimmonlb/wire/internal/meshcore.h
@@ -100,6 +100,7 @@
     using Links = std::unordered_map<LinkId, Link>;
 
     void opened(LinkId id, bool incoming);
+    void makeRoomForUnproved();
     void received(LinkId id, std::string bytes);
     void heard(LinkId id);
     void closed(LinkId id, const std::string &reason);
--- a/persimmonlb/wire/internal/websocketendpoint.cpp
+++ b/persimmonlb/wire/internal/websocketendpoint.cpp
@@ -1,6 +1,8 @@
 // C++17: websocketpp 0.8.2 does not compile as C++20.
 #include "persimmonlb/wire/internal/websocketendpoint.h"
 
+#include <algorithm>
+#include <list>
 #include <unordered_map>
 #include <utility>
 
@@ -21,12 +23,33 @@
 namespace asio = boost::asio;
 using asio::ip::tcp;
 
+/// An upgrade request of a peer is some 250 bytes. The library takes 16,000, and keeps each header
+/// field of a connection that has proved nothing.
+class UpgradeRequest : public websocketpp::http::parser::request
+{
+public:
+    std::size_t consume(const char *bytes, std::size_t size)
+    {
+        constexpr std::size_t maxBytes = 2048;
+        received_ += size;
+        if (received_ > maxBytes) {
+            throw websocketpp::http::exception(
+                "upgrade request too large",
+                websocketpp::http::status_code::request_header_fields_too_large);
+        }
+        return request::consume(bytes, size);
+    }
+
+private:
+    std::size_t received_ = 0;
+};
+
 /// One thread, no log, no locks.
 struct MeshConfig : public websocketpp::config::asio_client {
     using type = MeshConfig; // NOLINT: names of the library's configuration, here and below
     using base = websocketpp::config::asio_client; // NOLINT
     using concurrency_type = websocketpp::concurrency::none; // NOLINT
-    using request_type = base::request_type; // NOLINT
+    using request_type = UpgradeRequest; // NOLINT
     using response_type = base::response_type; // NOLINT
     using message_type = base::message_type; // NOLINT
     using con_msg_manager_type = base::con_msg_manager_type; // NOLINT
@@ -94,14 +117,19 @@
 class WebsocketppEndpoint final : public WebsocketEndpoint
 {
 public:
-    explicit WebsocketppEndpoint(WebsocketHooks hooks)
+    WebsocketppEndpoint(WebsocketHooks hooks, std::size_t maxUpgrades)
         : hooks_(std::move(hooks))
+        , maxUpgrades_(maxUpgrades)
     {
         server_.init_asio(&context_);
         client_.init_asio(&context_);
         server_.set_reuse_addr(true);
         server_.set_open_handler([this](const Handle &handle) { adopt(handle); });
         setHandlers(server_);
+        server_.set_tcp_post_init_handler([this](const Handle &handle) {
+            disableDelay(server_, handle);
+            beginUpgrade(handle);
+        });
         client_.set_open_handler([this](const Handle &handle) {
             const LinkId link = find(handle);
             if (link != 0) {
@@ -250,14 +278,8 @@
     template <typename Endpoint>
     void setHandlers(Endpoint &endpoint)
     {
-        endpoint.set_tcp_post_init_handler([&endpoint](const Handle &handle) {
-            websocketpp::lib::error_code error;
-            const auto connection = endpoint.get_con_from_hdl(handle, error);
-            if (!error) {
-                boost::system::error_code ignored;
-                connection->get_raw_socket().set_option(tcp::no_delay(true), ignored);
-            }
-        });
+        endpoint.set_tcp_post_init_handler(
+            [&endpoint](const Handle &handle) { disableDelay(endpoint, handle); });
         endpoint.set_message_handler([this](const Handle &handle, const MessagePointer &message) {
             received(handle, *message);
         });
@@ -271,8 +293,44 @@
         endpoint.set_fail_handler([this](const Handle &handle) { ended(handle); });
     }
 
+    template <typename Endpoint>
+    static void disableDelay(Endpoint &endpoint, const Handle &handle)
+    {
+        websocketpp::lib::error_code error;
+        const auto connection = endpoint.get_con_from_hdl(handle, error);
+        if (!error) {
+            boost::system::error_code ignored;
+            connection->get_raw_socket().set_option(tcp::no_delay(true), ignored);
+        }
+    }
+
+    /// Counts an accepted connection until its upgrade ends, and closes the oldest of too many: a
+    /// peer is through within some round trips.
+    void beginUpgrade(const Handle &handle)
+    {
+        upgrades_.push_back(handle);
+        if (upgrades_.size() <= maxUpgrades_) {
+            return;
+        }
+        websocketpp::lib::error_code error;
+        const ConnectionPointer oldest = server_.get_con_from_hdl(upgrades_.front(), error);
+        upgrades_.pop_front();
+        if (!error) {
+            closeSocket(*oldest);
+        }
+    }
+
+    void endUpgrade(const Handle &handle)
+    {
+        const auto isSame = [&handle](const Handle &other) {
+            return !handle.owner_before(other) && !other.owner_before(handle);
+        };
+        upgrades_.remove_if(isSame);
+    }
+
     void adopt(const Handle &handle)
     {
+        endUpgrade(handle);
         websocketpp::lib::error_code error;
         const ConnectionPointer connection = server_.get_con_from_hdl(handle, error);
         if (error || stopped_) {
@@ -306,6 +364,7 @@
 
     void ended(const Handle &handle)
     {
+        endUpgrade(handle);
         const LinkId link = find(handle);
         if (link != 0) {
             const Connection &connection = *links_.at(link).connection;
@@ -365,6 +424,8 @@
     Server server_;
     Client client_;
     Links links_;
+    std::size_t maxUpgrades_;
+    std::list<Handle> upgrades_; ///< Accepted and not upgraded, oldest first.
     std::unordered_map<Connection *, LinkId> numbers_;
     LinkId lastLink_ = 0;
     bool stopped_ = false;
@@ -372,9 +433,10 @@
 
 } // namespace
 
-std::unique_ptr<WebsocketEndpoint> WebsocketEndpoint::create(WebsocketHooks hooks)
+std::unique_ptr<WebsocketEndpoint> WebsocketEndpoint::create(WebsocketHooks hooks,
+                                                             std::size_t maxUpgrades)
 {
-    return std::make_unique<WebsocketppEndpoint>(std::move(hooks));
+    return std::make_unique<WebsocketppEndpoint>(std::move(hooks), maxUpgrades);
 }
 
 } // namespace persimmonlb::internal
--- a/persimmonlb/wire/internal/websocketendpoint.h
+++ b/persimmonlb/wire/internal/websocketendpoint.h
@@ -32,7 +32,9 @@
 class WebsocketEndpoint
 {
 public:
-    static std::unique_ptr<WebsocketEndpoint> create(WebsocketHooks hooks);
+    /// Of more than `maxUpgrades` accepted connections that have not sent a whole upgrade request
+    /// the oldest are closed.
+    static std::unique_ptr<WebsocketEndpoint> create(WebsocketHooks hooks, std::size_t maxUpgrades);
 
     WebsocketEndpoint() = default;
     WebsocketEndpoint(const WebsocketEndpoint &) = delete;
--- a/persimmonlb/wire/mesh.h
+++ b/persimmonlb/wire/mesh.h
@@ -33,6 +33,10 @@
     Milliseconds firstReconnect{25};
     std::uint64_t maxMessageBytes = 16ULL * 1024 * 1024;
     std::uint64_t maxQueuedBytesPerPeer = 64ULL * 1024 * 1024;
+    /// Accepted connections that have not sent a whole upgrade request, and as many that have not
+    /// proved the key. Of more the oldest are closed: a whole fleet may connect at once, and each
+    /// of its hosts is through within some round trips.
+    std::size_t maxUnprovedConnections = 512;
 };
 
 struct MeshHooks {
--- a/persimmonlb/wire/mesh_test.cpp
+++ b/persimmonlb/wire/mesh_test.cpp
@@ -132,7 +132,8 @@
                                          [this](LinkId, const std::string &) {
                                              isClosed = true;
                                              endpoint->stop();
-                                         }});
+                                         }},
+                                    1);
     LinkId link;
     std::shared_ptr<std::atomic<std::uint64_t>> unsent
         = std::make_shared<std::atomic<std::uint64_t>>(0);
@@ -332,6 +333,25 @@
     }
 }
 
+// Guards against strangers that keep peers out: those that prove nothing filled the bound, and
+// whoever came later was refused.
+BOOST_AUTO_TEST_CASE(peerGetsInWhileStrangersFillTheBound)
+{
+    DecisionThread thread;
+    MeshOptions options;
+    options.maxUnprovedConnections = 2;
+    Host host(thread, "h1", options);
+    Rogue first(host.address());
+    Rogue second(host.address());
+    Rogue third(host.address());
+    first.requireClosed();
+    Host friendly(thread, "h2");
+    friendly.mesh->addPeer(host.asPeer());
+    thread.runUntil([&] { return friendly.reaches(host.id) && host.reaches(friendly.id); });
+    requireExchange(thread, host, friendly);
+    second.requireClosed();
+}
+
 BOOST_AUTO_TEST_CASE(peerThatStopsReadingIsBoundedAndThenGivenUp)
 {
     DecisionThread thread;
