JSON from outside: at most 250,000 values in a document

The smallest machines have 110 and 130 MB, and any body of legal size may be such a document.

Cause: a parsed value takes up to 70 bytes, however short its text. The account of callers' memory ends where the handler of a request begins.

Change: parseBoundedJson counts the values of a document that is long enough to have too many, with the library's SAX parser and without keeping any, before it is parsed. All documents from callers, operators and backend servers are read by it, in both programs. Results of backend servers (bodyToJson) are not changed.

--- a/persimmonlb/api/batchlines.cpp
+++ b/persimmonlb/api/batchlines.cpp
@@ -7,6 +7,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "persimmonlb/base/boundedjson.h"
+
 namespace persimmonlb
 {
 
@@ -22,7 +24,7 @@
 
 Result<ItemSpec> parseLine(std::string_view line, std::size_t number)
 {
-    const Json json = Json::parse(line, nullptr, false);
+    const Json json = parseBoundedJson(line);
     if (!json.is_object()) {
         return badLine(number, "is not a JSON object");
     }
--- a/persimmonlb/api/operatorapi.cpp
+++ b/persimmonlb/api/operatorapi.cpp
@@ -6,6 +6,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "persimmonlb/base/boundedjson.h"
 #include "persimmonlb/base/digest.h"
 #include "persimmonlb/sheet/callerkey.h"
 #include "persimmonlb/state/pick.h"
@@ -222,7 +223,7 @@
 void OperatorApi::drainHost(const HostId &host, const HttpRequest &request, const std::string &by,
                             const ResponderPtr &responder)
 {
-    const Json json = Json::parse(request.body, nullptr, false);
+    const Json json = parseBoundedJson(request.body);
     if (!json.is_object() || !json.contains("draining") || !json["draining"].is_boolean()) {
         respondError(deps_, responder,
                      makeError(ResultCode::MalformedRequest, "needs {\"draining\": true|false}"));
@@ -255,7 +256,7 @@
 
 void OperatorApi::initGroup(const HttpRequest &request, const ResponderPtr &responder)
 {
-    const Json json = Json::parse(request.body, nullptr, false);
+    const Json json = parseBoundedJson(request.body);
     std::vector<HostId> members;
     if (json.is_object() && json.contains("members") && json["members"].is_array()) {
         for (const Json &member : json["members"]) {
@@ -275,7 +276,7 @@
 
 void OperatorApi::replaceMember(const HttpRequest &request, const ResponderPtr &responder)
 {
-    const Json json = Json::parse(request.body, nullptr, false);
+    const Json json = parseBoundedJson(request.body);
     const bool valid = json.is_object() && json.contains("lost") && json["lost"].is_string()
         && json.contains("new") && json["new"].is_string();
     if (!valid) {
--- a/persimmonlb/membership/server.cpp
+++ b/persimmonlb/membership/server.cpp
@@ -7,6 +7,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "persimmonlb/base/boundedjson.h"
+
 namespace persimmonlb
 {
 
@@ -170,7 +172,7 @@
 
 Result<ServerAnnouncement> parseAnnouncement(std::string_view json)
 {
-    const Json document = Json::parse(json, nullptr, false);
+    const Json document = parseBoundedJson(json);
     if (!document.is_object()) {
         return fail(ResultCode::MalformedRequest, "announcement is not a JSON object");
     }
