HTTP: silent connections make room for others, within the descriptors of the process

Callers saw nothing yet; in a test 400 connections without a byte kept every ordinary caller out of a host that may have 256 descriptors.

Cause: a listener took 20,000 connections, more than a process may have descriptors (4,100 on an entry host). Then accepting fails for everybody, the host cannot connect to servers, and a storage host cannot open its files. Nothing ended a silent connection before its idle time (15 s and more).

For one connection more, the one that has been silent for longest, a second or more, is closed: with the farewell answer when it is idle, with a refusal (503, not run) when its request had begun. connectionsAboveTheLimitAreRefused holds unchanged: nobody is closed before a second. The mesh gets its bound from the same shares. persimmonlbd caps entry.max_connections likewise.

--- a/persimmonlb/daemon/entryrole.cpp
+++ b/persimmonlb/daemon/entryrole.cpp
@@ -1,8 +1,10 @@
 #include "persimmonlb/daemon/entryrole.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "persimmonlb/base/logline.h"
+#include "persimmonlb/daemon/connectionlimits.h"
 #include "persimmonlb/daemon/internal/entryparts.h"
 
 namespace persimmonlb
@@ -29,7 +31,8 @@
     HttpServerOptions options;
     options.maxBodyBytes = entry.maxBodyBytes;
     options.maxHeaderBytes = entry.maxHeaderBytes;
-    options.maxConnections = entry.maxConnections;
+    options.maxConnections
+        = std::min(entry.maxConnections, shareDescriptors(descriptorLimit()).callers);
     options.memory = parts_->callerMemory;
     options.headerTimeout = entry.headerTimeout;
     options.bodyTimeout = entry.bodyTimeout;
--- a/persimmonlb/daemon/node.cpp
+++ b/persimmonlb/daemon/node.cpp
@@ -10,6 +10,7 @@
 #include "persimmonlb/base/metrics.h"
 #include "persimmonlb/crashes/crashledger.h"
 #include "persimmonlb/crashes/crashsuspectcache.h"
+#include "persimmonlb/daemon/connectionlimits.h"
 #include "persimmonlb/daemon/controlrole.h"
 #include "persimmonlb/daemon/entryrole.h"
 #include "persimmonlb/daemon/peermessage.h"
@@ -151,6 +152,7 @@
     options.self = settings.host.id;
     options.listenAddress = settings.mesh.listen;
     options.sharedKey = keys.mesh;
+    options.maxUnprovedConnections = shareDescriptors(descriptorLimit()).mesh;
     for (const PeerSettings &peer : settings.mesh.peers) {
         options.peers.push_back(MeshPeer{peer.host, peer.address});
     }
--- a/persimmonlb/daemon/settings.cpp
+++ b/persimmonlb/daemon/settings.cpp
@@ -42,7 +42,8 @@
     {"entry.max_header_bytes", SettingType::Integer, "bytes", 1024, 1048576, "16384",
      "Largest header section."},
     {"entry.max_connections", SettingType::Integer, "", 1, 1000000, "20000",
-     "Connections served at once."},
+     "Connections served at once, at most three eighths of the descriptors that the process may "
+     "have."},
     {"entry.caller_memory_mb", SettingType::Integer, "MB", 0, 1000000, "1024",
      "Memory for what callers send and do not read, at least four of entry.max_body_bytes; 0: no "
      "bound."},
--- a/persimmonlb/fleetnode/fleetmesh.cpp
+++ b/persimmonlb/fleetnode/fleetmesh.cpp
@@ -201,6 +201,7 @@
     options.listenAddress = settings.meshListen;
     options.sharedKey = settings.meshKey;
     options.reconnectInterval = meshReconnect;
+    options.maxUnprovedConnections = connectionLimits(settings).mesh;
     MeshHooks hooks;
     hooks.post = [this](std::function<void()> fn) {
         boost::asio::post(context, std::move(fn));
--- a/persimmonlb/fleetnode/fleetparts.cpp
+++ b/persimmonlb/fleetnode/fleetparts.cpp
@@ -128,9 +128,11 @@
 }
 
 Result<std::unique_ptr<HttpServer>> FleetNode::Parts::listen(const std::string &address,
+                                                             std::uint32_t maxConnections,
                                                              HttpHandler handler)
 {
     HttpServerOptions options;
+    options.maxConnections = maxConnections;
     options.farewell = face.farewell;
     options.refusal = face.refusal;
     options.memory = callerMemory;
@@ -139,24 +141,25 @@
 
 Result<void> FleetNode::Parts::startListeners()
 {
-    const auto add
-        = [this](const std::string &address, const HttpHandler &handler) -> Result<void> {
+    const ConnectionLimits limits = connectionLimits(settings);
+    const auto add = [this](const std::string &address, std::uint32_t maxConnections,
+                            const HttpHandler &handler) -> Result<void> {
         if (address.empty()) {
             return {};
         }
-        BOOST_LEAF_AUTO(server, listen(address, handler));
+        BOOST_LEAF_AUTO(server, listen(address, maxConnections, handler));
         listeners.push_back(std::move(server));
         return {};
     };
     if (gateway) {
-        BOOST_LEAF_ASSIGN(callers, listen(settings.callerListen, face.callers));
-        BOOST_LEAF_CHECK(add(settings.directoryListen, face.directory));
-        BOOST_LEAF_CHECK(add(settings.readinessListen, face.readiness));
+        BOOST_LEAF_ASSIGN(callers, listen(settings.callerListen, limits.callers, face.callers));
+        BOOST_LEAF_CHECK(add(settings.directoryListen, limits.others, face.directory));
+        BOOST_LEAF_CHECK(add(settings.readinessListen, limits.others, face.readiness));
     }
     if (storage) {
-        BOOST_LEAF_CHECK(add(settings.controlListen, face.control));
+        BOOST_LEAF_CHECK(add(settings.controlListen, limits.callers, face.control));
     }
-    return add(settings.metricsListen,
+    return add(settings.metricsListen, limits.others,
                [this](const HttpRequest &request, const std::shared_ptr<HttpResponder> &responder) {
                    answerOperators(request, *responder);
                });
--- a/persimmonlb/fleetnode/fleetsettings.cpp
+++ b/persimmonlb/fleetnode/fleetsettings.cpp
@@ -177,6 +177,7 @@
 Result<FleetSettings> readSettings(const toml::table &table)
 {
     Reader reader(table);
+    constexpr double maxDescriptors = 1e9;
     constexpr std::array<std::string_view, 4> levels = {"debug", "info", "warning", "error"};
     FleetSettings settings;
     settings.host.value = reader.text("host.ip");
@@ -204,6 +205,10 @@
     settings.resultsKept = reader.seconds("fleet.results_kept_s");
     settings.customers = readCustomers(table, reader);
     settings.callerMemoryBytes = readCallerMemory(reader, settings.callerMemoryBytes);
+    if (table.at_path("host.descriptors")) {
+        settings.descriptors = static_cast<std::uint32_t>(
+            reader.amountOr("host.descriptors", settings.descriptors, maxDescriptors));
+    }
     settings.learnsServerSpeeds
         = table.at_path("scheduling.learned_costs") && reader.flag("scheduling.learned_costs");
     const std::string level = reader.text("log.level");
--- a/persimmonlb/fleetnode/fleetsettings.h
+++ b/persimmonlb/fleetnode/fleetsettings.h
@@ -57,6 +57,7 @@
     /// bodies, and twice it (handlers copy a request to send it on) beside the 18 MB of an idle
     /// host fits into the smallest machine, of 110 MB.
     std::uint64_t callerMemoryBytes = 32ULL * 1024 * 1024;
+    std::uint32_t descriptors = 0; ///< That the process may have; 0: as the system says.
     bool learnsServerSpeeds = false; ///< Servers are chosen by learned speeds and cached prompts.
     LogLevel logLevel = LogLevel::Info;
 
--- a/persimmonlb/fleetnode/internal/fleetparts.h
+++ b/persimmonlb/fleetnode/internal/fleetparts.h
@@ -9,6 +9,7 @@
 #include "persimmonlb/base/metrics.h"
 #include "persimmonlb/crashes/crashsuspectcache.h"
 #include "persimmonlb/customers/routesproof.h"
+#include "persimmonlb/daemon/connectionlimits.h"
 #include "persimmonlb/daemon/supervisor.h"
 #include "persimmonlb/daemon/timers.h"
 #include "persimmonlb/fleetnode/fleetnode.h"
@@ -26,6 +27,11 @@
 inline constexpr const char *storageChild = "storage";
 inline constexpr const char *loopChild = "loop"; ///< Work of the context that belongs to no part.
 
+inline ConnectionLimits connectionLimits(const FleetSettings &settings)
+{
+    return shareDescriptors(settings.descriptors > 0 ? settings.descriptors : descriptorLimit());
+}
+
 struct FleetNode::Parts {
     Parts(boost::asio::io_context &usedContext, FleetSettings usedSettings);
 
@@ -34,7 +40,8 @@
     Result<void> startMesh();
     Result<void> startStorage();
     Result<void> startListeners();
-    Result<std::unique_ptr<HttpServer>> listen(const std::string &address, HttpHandler handler);
+    Result<std::unique_ptr<HttpServer>> listen(const std::string &address,
+                                               std::uint32_t maxConnections, HttpHandler handler);
     bool sendMessage(PeerMessage message, const HostId &to);
     bool send(const HostId &to, PeerBody body);
     void sendTo(const std::vector<HostId> &hosts, const PeerBody &body);
--- a/persimmonlb/http/internal/serverconnection.cpp
+++ b/persimmonlb/http/internal/serverconnection.cpp
@@ -17,8 +17,12 @@
 
 /// Bytes of later requests that are read while one is being answered.
 constexpr std::size_t maxReadAhead = 64UL * 1024;
-/// For a caller that is refused for want of memory: about the time in which requests end.
-constexpr Milliseconds memoryRetryAfter{1000};
+/// For a caller that is refused for want of memory or descriptors: about the time in which requests
+/// end.
+constexpr Milliseconds roomRetryAfter{1000};
+/// A caller that has sent nothing for so long may be closed for another one. Above the pauses
+/// inside a request that is on its way.
+constexpr Milliseconds silence{1000};
 
 std::string formatAddress(const ServerConnection::Socket &socket)
 {
@@ -94,6 +98,28 @@
     flush();
 }
 
+bool ServerConnection::isSilent() const
+{
+    const bool awaitsRequest
+        = phase_ == Phase::Idle || phase_ == Phase::Header || phase_ == Phase::Body;
+    return awaitsRequest && std::chrono::steady_clock::now() - lastInput_ >= silence;
+}
+
+ServerConnection::TimePoint ServerConnection::lastInput() const
+{
+    return lastInput_;
+}
+
+bool ServerConnection::closeSilent()
+{
+    if (phase_ == Phase::Idle) {
+        closeIfIdle();
+        return phase_ == Phase::Closing || phase_ == Phase::Closed;
+    }
+    refuseForRoom(makeError(ResultCode::Overloaded, "too many connections to this host"));
+    return true;
+}
+
 void ServerConnection::checkDeadline(TimePoint now)
 {
     if (now < deadline_ || phase_ == Phase::Closed) {
@@ -155,6 +181,7 @@
         inputEnded(error);
         return;
     }
+    lastInput_ = std::chrono::steady_clock::now();
     takeInput(std::string_view(shared_->scratch.data(), size));
     awaitInput();
 }
@@ -351,8 +378,14 @@
         callerGone();
         return;
     }
-    Error error = makeError(ResultCode::Overloaded, "this host has no memory left for the request");
-    error.retryAfter = memoryRetryAfter;
+    refuseForRoom(
+        makeError(ResultCode::Overloaded, "this host has no memory left for the request"));
+}
+
+/// Refuses a request that was not passed on, so that others can be served.
+void ServerConnection::refuseForRoom(Error error)
+{
+    error.retryAfter = roomRetryAfter;
     const auto &refusal = shared_->options.refusal;
     refuse(refusal ? refusal(error) : errorResponse(error));
 }
--- a/persimmonlb/http/internal/serverconnection.h
+++ b/persimmonlb/http/internal/serverconnection.h
@@ -66,6 +66,12 @@
     void detach();
     /// Closes an idle connection after a last answer; takes a request whose first byte is here.
     void closeIfIdle();
+    /// True when a whole request is waited for and nothing of one has arrived for some time.
+    [[nodiscard]] bool isSilent() const;
+    [[nodiscard]] TimePoint lastInput() const;
+    /// Closes a silent connection after a last answer, to make room for another one; false if a
+    /// request is here after all.
+    bool closeSilent();
     /// Acts on a deadline that has passed.
     void checkDeadline(TimePoint now);
 
@@ -95,6 +101,7 @@
 
     void reject(const Error &error);
     void refuse(HttpResponse response);
+    void refuseForRoom(Error error);
     [[nodiscard]] CallerUse memoryUse() const;
     void accountMemory();
     void relieveMemory();
@@ -130,6 +137,7 @@
     std::function<void()> closedHook_;
 
     TimePoint deadline_ = TimePoint::max();
+    TimePoint lastInput_ = std::chrono::steady_clock::now();
     std::shared_ptr<AnswerState> answerState_;
     std::uint64_t currentAnswer_ = 0;
     Phase phase_ = Phase::Idle;
--- a/persimmonlb/http/server.cpp
+++ b/persimmonlb/http/server.cpp
@@ -22,7 +22,11 @@
 using ErrorCode = boost::system::error_code;
 
 /// Connections above the limit that may wait for their refusal to be read.
-constexpr std::size_t maxRefusedConnections = 256;
+std::size_t maxRefusedConnections(std::size_t limit)
+{
+    constexpr std::size_t most = 256;
+    return std::min(most, limit / 4 + 1);
+}
 /// Pause after accept() failed, for example for want of descriptors.
 constexpr Milliseconds acceptRetry{50};
 
@@ -101,12 +105,13 @@
     {
         const std::size_t open = shared_->connections.size();
         const std::size_t limit = shared_->options.maxConnections;
-        if (open >= limit + maxRefusedConnections) {
+        if (open >= limit + maxRefusedConnections(limit)) {
             return;
         }
+        const bool isRefused = open >= limit && !closeSilent();
         const auto connection = std::make_shared<ServerConnection>(std::move(socket), shared_);
         shared_->connections.insert(connection);
-        if (open >= limit) {
+        if (isRefused) {
             connection->startRefused(
                 makeError(ResultCode::Overloaded, "too many connections to this entry host"));
             return;
@@ -114,6 +119,20 @@
         connection->start();
     }
 
+    /// Closes the connection whose caller has sent nothing for longest, if it waits for input;
+    /// false if there is none.
+    bool closeSilent()
+    {
+        std::shared_ptr<ServerConnection> silent;
+        for (const auto &connection : shared_->connections) {
+            if (connection->isSilent()
+                && (!silent || connection->lastInput() < silent->lastInput())) {
+                silent = connection;
+            }
+        }
+        return silent && silent->closeSilent();
+    }
+
     void scheduleCheck()
     {
         checkTimer_.expires_after(checkInterval_);
--- a/persimmonlb/http/server.h
+++ b/persimmonlb/http/server.h
@@ -46,7 +46,9 @@
     Milliseconds idleTimeout{60000}; ///< Between requests of a connection.
     Milliseconds writeTimeout{60000}; ///< For the caller to take some bytes of an answer.
     Milliseconds lingerTimeout{1000}; ///< For the caller to close after the last answer.
-    std::uint32_t maxConnections = 20000; ///< More are answered with code 301 and closed.
+    /// For one more, the connection whose caller has been silent for longest, a second or more, is
+    /// closed; if there is none, the new one is answered with code 301 and closed.
+    std::uint32_t maxConnections = 20000;
     /// The answer that an idle connection gets before closeIdleConnections() closes it; without
     /// a hook: code 305 without other hosts. Nothing that arrives after it is ever run.
     std::function<HttpResponse()> farewell;
--- a/persimmonlb/http/server_test.cpp
+++ b/persimmonlb/http/server_test.cpp
@@ -565,6 +565,27 @@
     BOOST_TEST(first.receives("hi!"));
 }
 
+// Guards against callers who open connections, send nothing and so keep everybody else out.
+BOOST_AUTO_TEST_CASE(callerIsServedWhileSilentConnectionsFillTheLimit)
+{
+    HttpServerOptions options;
+    options.maxConnections = 2;
+    Fixture fixture(options);
+    RawPeer silent = fixture.connect();
+    RawPeer begun = fixture.connect();
+    begun.send("POST /echo HTTP/1.1\r\nContent-Le");
+    const std::string request = "POST /echo HTTP/1.1\r\nContent-Length: 2\r\n\r\nhi";
+    // Until both have been silent for long enough, others are refused.
+    bool isServed = false;
+    while (!isServed) {
+        RawPeer other = fixture.connect();
+        other.send(request);
+        BOOST_REQUIRE(other.receives("\r\n\r\n"));
+        isServed = other.count("HTTP/1.1 200") == 1U;
+    }
+    BOOST_TEST(silent.seesClose());
+}
+
 BOOST_AUTO_TEST_CASE(secondListenerOnAPortIsRefused)
 {
     Fixture fixture;
