--- a/scripts/lib/hostilecaller.sh
+++ b/scripts/lib/hostilecaller.sh
@@ -5,6 +5,8 @@
 target_address=
 target_port=$caller_port
 target_path=/chat/open
+more_listeners= # Lines of the section [listen] of entry-0.
+has_lowered_stores= # Set: the storage hosts have the lowered limit too.
 descriptor_limit= # Set: that many are all that entry-0 may have.
 mesh_port=20000
 
@@ -15,6 +17,10 @@
 allowed_growth_kb=$((3 * caller_memory_mb * 1024))
 spare_descriptors=64
 
+lower_memory() { # NODE
+  printf '[limits]\ncaller_memory_mb = %d\n' "$caller_memory_mb" >>"$work/$1/settings.toml"
+}
+
 # start_lowered_fleet   Three storage hosts, entry-0 with lowered memory for callers, and backend servers. Sets
 # `memory` to what entry-0 has resident before any load.
 start_lowered_fleet() {
@@ -25,10 +31,12 @@
   local i
   for i in 0 1 2; do
     write_node "store-$i" 3 true
+    [ -z "$has_lowered_stores" ] || lower_memory "store-$i"
     start_node "store-$i"
   done
   write_node entry-0 3 true
-  printf '[limits]\ncaller_memory_mb = %d\n' "$caller_memory_mb" >>"$work/entry-0/settings.toml"
+  lower_memory entry-0
+  [ -z "$more_listeners" ] || sed -i "s/^\[listen\]/&\n$more_listeners/" "$work/entry-0/settings.toml"
   start entry-0 ${descriptor_limit:+prlimit --nofile="$descriptor_limit:$descriptor_limit"} \
     "$bin/persimmonlb-node" --settings "$work/entry-0/settings.toml"
   wait_for "$start_patience" routes_taken "$work/routes.json" || fail "routes"
