Leader announcement: hosts that were connected before the election get a second

Cause: the 0.1 s ran from the election for every connected host, and a leader that stands still reads no reports.

Change: hosts that are connected when the term begins are sent the change anyway; they have a second to report. Hosts that connect later keep 0.1 s.

--- a/persimmonlb/fleettree/leaderannouncement.h
+++ b/persimmonlb/fleettree/leaderannouncement.h
@@ -11,9 +11,12 @@
 {
 
 struct LeaderAnnouncementOptions {
-    /// A host that knows the leader reports as soon as both are connected; one that has not done
-    /// so after this time is sent the view. Covers a round trip and a busy processor.
+    /// A host that knows the leader reports as soon as both are connected; one that connects and
+    /// has not done so after this time is sent the view. Covers a round trip and a busy processor.
     Milliseconds reportWait{100};
+    /// Likewise for hosts that were connected when the term began. They are sent the change of
+    /// leader, which nearly all of them can use; the leader itself may stand still meanwhile.
+    Milliseconds changeWait{1000};
 };
 
 /// Finds the hosts that a leader has to tell that it leads: those that are connected to it but do
@@ -42,7 +45,7 @@
 
 private:
     struct Connection {
-        MonotonicTime since;
+        MonotonicTime dueAt; ///< When it is told if it has not reported.
         bool informed = false; ///< It reported, or was returned as uninformed.
     };
 
