Parent choice: fewer and longer trials while no host has word of a leader

Cause: a parent without word of the leader was left after 1.5 s and each further one after 0.35 s, for as long as none had word. All hosts lose the word together when the leader stands still. 300 hosts then make 800 connections a second to storage hosts, the leader among them, which has a third of a core; so it is not heard, and the search feeds itself (a metastable overload).

Change: four parents are tried for 0.35 s, the next ones for 1.5, 3 and 6 s, until one has word. One that does not answer at all is left after 1.2 s as before. After two trials in vain a host of another tier (another zone) goes first, so that the quick trials are enough when all storage hosts of a zone are cut off, whatever their number.

--- a/persimmonlb/fleettree/parentchoice.cpp
+++ b/persimmonlb/fleettree/parentchoice.cpp
@@ -44,18 +44,39 @@
     return found != restsUntil_.end() && clock_.monotonic() < found->second;
 }
 
-bool ParentChoice::choose()
+HostId ParentChoice::best() const
 {
-    const MonotonicTime now = clock_.monotonic();
-    std::erase_if(restsUntil_, [now](const auto &entry) { return entry.second <= now; });
-    HostId next;
+    HostId first;
     for (const ParentCandidate &candidate : candidates_) {
         if (rests(candidate.host)) {
             continue;
         }
-        next = candidate.host;
-        break;
+        if (vainTrials_ < options_.trialsOfTier || !vainTiers_.contains(candidate.tier)) {
+            return candidate.host;
+        }
+        first = first.empty() ? candidate.host : first;
+    }
+    return first;
+}
+
+Milliseconds ParentChoice::trialTime() const
+{
+    if (vainTrials_ < options_.quickTrials) {
+        return options_.proofTime;
+    }
+    Milliseconds time = options_.staleness;
+    for (std::uint32_t trial = options_.quickTrials;
+         trial < vainTrials_ && time < options_.longestTrial; ++trial) {
+        time *= 2;
     }
+    return std::min(time, options_.longestTrial);
+}
+
+bool ParentChoice::choose()
+{
+    const MonotonicTime now = clock_.monotonic();
+    std::erase_if(restsUntil_, [now](const auto &entry) { return entry.second <= now; });
+    HostId next = best();
     if (next.empty() && !candidates_.empty()) {
         // All were tried in vain: from the front again.
         restsUntil_.clear();
@@ -67,12 +88,15 @@
     parent_ = next;
     chosenAt_ = now;
     heardAt_ = now;
-    leaderHeardAt_ = now - options_.staleness + options_.proofTime;
+    hasAnswered_ = false;
+    isProven_ = false;
+    trialEndsAt_ = now + trialTime();
     if (!parent_.empty()) {
         LogLine(LogLevel::Info, "parent_chosen")
             .add("parent", parent_.value)
             .add("candidates", static_cast<std::int64_t>(candidates_.size()))
             .add("resting", static_cast<std::int64_t>(restsUntil_.size()))
+            .add("vain_trials", static_cast<std::int64_t>(vainTrials_))
             .write();
     }
     return true;
@@ -81,6 +105,14 @@
 void ParentChoice::leave()
 {
     restsUntil_[parent_] = clock_.monotonic() + options_.rest;
+    if (isProven_) {
+        return;
+    }
+    ++vainTrials_;
+    const auto candidate = std::ranges::find(candidates_, parent_, &ParentCandidate::host);
+    if (candidate != candidates_.end()) {
+        vainTiers_.insert(candidate->tier);
+    }
 }
 
 void ParentChoice::heard(const HostId &host, Milliseconds age)
@@ -89,7 +121,13 @@
         return;
     }
     heardAt_ = clock_.monotonic();
-    leaderHeardAt_ = std::max(leaderHeardAt_, heardAt_ - age);
+    hasAnswered_ = true;
+    if (age <= options_.staleness) {
+        leaderHeardAt_ = isProven_ ? std::max(leaderHeardAt_, heardAt_ - age) : heardAt_ - age;
+        isProven_ = true;
+        vainTrials_ = 0;
+        vainTiers_.clear();
+    }
 }
 
 void ParentChoice::lost(const HostId &host)
@@ -106,7 +144,7 @@
     if (parent_.empty()) {
         return choose();
     }
-    if (now - heardAt_ > options_.silence || now - leaderHeardAt_ > options_.staleness) {
+    if (hasFailed()) {
         leave();
         return choose();
     }
@@ -117,6 +155,16 @@
     return false;
 }
 
+bool ParentChoice::hasFailed() const
+{
+    const MonotonicTime now = clock_.monotonic();
+    if (isProven_) {
+        return now - heardAt_ > options_.silence || now - leaderHeardAt_ > options_.staleness;
+    }
+    // One that does not answer at all is not worth a long trial.
+    return now > trialEndsAt_ || (!hasAnswered_ && now - chosenAt_ > options_.silence);
+}
+
 const HostId &ParentChoice::parent() const
 {
     return parent_;
--- a/persimmonlb/fleettree/parentchoice.h
+++ b/persimmonlb/fleettree/parentchoice.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <vector>
 
 #include "persimmonlb/base/clock.h"
@@ -20,6 +21,13 @@
     /// A new parent must have heard of the leader, and said so, within this: one report and its
     /// reply. All storage hosts of a zone may be cut off together.
     Milliseconds proofTime{350};
+    /// Parents that are tried for proofTime, one after the other. The next ones get the staleness,
+    /// and twice the time of the one before up to longestTrial: when no host has word of a leader,
+    /// the connections of a fleet that looks for one would keep the leader from telling it.
+    std::uint32_t quickTrials = 4;
+    Milliseconds longestTrial{6000};
+    /// After so many trials in vain a host of another tier goes first, for example of another zone.
+    std::uint32_t trialsOfTier = 2;
     /// A parent that was left is not chosen again for so long, while there are others.
     Milliseconds rest{4000};
     /// After this a host goes back to a parent that it ranks higher, so that the load of a storage
@@ -60,6 +68,12 @@
     /// True when another parent was chosen.
     bool choose();
     [[nodiscard]] bool rests(const HostId &host) const;
+    /// The best candidate that does not rest; empty if all do.
+    [[nodiscard]] HostId best() const;
+    /// For how long the next parent is tried.
+    [[nodiscard]] Milliseconds trialTime() const;
+    /// True when the parent is of no use.
+    [[nodiscard]] bool hasFailed() const;
 
     ParentChoiceOptions options_;
     HostId self_;
@@ -70,6 +84,11 @@
     MonotonicTime chosenAt_;
     MonotonicTime heardAt_;
     MonotonicTime leaderHeardAt_; ///< When the parent heard of the leader last.
+    bool hasAnswered_ = false; ///< The parent, since it was chosen.
+    bool isProven_ = false; ///< The parent had word of the leader since it was chosen.
+    MonotonicTime trialEndsAt_; ///< Of a parent that is not proven.
+    std::uint32_t vainTrials_ = 0; ///< Parents left since the last one with word of the leader.
+    std::set<std::uint32_t> vainTiers_; ///< Theirs.
 };
 
 } // namespace persimmonlb
--- a/persimmonlb/fleettree/parentchoice_test.cpp
+++ b/persimmonlb/fleettree/parentchoice_test.cpp
@@ -125,14 +125,52 @@
     BOOST_TEST(bench.choice.parent().value != first.value);
 }
 
+// Guards against a fleet that keeps its leader from being heard: while no host has word of one,
+// each went on to the next storage host after 0.35 s, 800 connections a second for 300 hosts, and
+// the leader among those storage hosts had no processor time left.
+BOOST_AUTO_TEST_CASE(triesFewParentsWhileNoneHasWordOfALeader)
+{
+    constexpr Milliseconds outage{30000};
+    for (const bool areAnswering : {true, false}) {
+        Bench bench;
+        const auto candidates = stores(50);
+        const std::set<HostId> answering = areAnswering ? hostsOf(candidates) : std::set<HostId>();
+        bench.choice.setCandidates(candidates);
+        bench.pass(Milliseconds(3000), hostsOf(candidates));
+        int moves = 0;
+        HostId parent = bench.choice.parent();
+        const MonotonicTime begin = bench.now;
+        while (bench.now - begin < outage) {
+            const auto age = std::chrono::duration_cast<Milliseconds>(bench.now - begin);
+            bench.pass(reportInterval, answering, age);
+            moves += bench.choice.parent() != parent ? 1 : 0;
+            parent = bench.choice.parent();
+        }
+        // Quick ones, then the time of an election for each.
+        BOOST_TEST(moves <= 4 + outage / Milliseconds(1200), "answering " << areAnswering);
+        BOOST_TEST(moves >= 4);
+        if (areAnswering) {
+            BOOST_TEST(moves <= 12);
+        }
+        // Word of a leader ends the search: at most the first choice comes back later.
+        bench.pass(Milliseconds(300), hostsOf(candidates));
+        std::set<HostId> parents;
+        for (int report = 0; report < 50; ++report) {
+            bench.pass(reportInterval, hostsOf(candidates));
+            parents.insert(bench.choice.parent());
+        }
+        BOOST_TEST(parents.size() <= 2U);
+    }
+}
+
 // Guards against an entry host that follows changes too late when all storage hosts of its zone are
-// cut off from the leader: 1.5 s for the first and one reply for each of the others. With 2.7 s for
-// the first and 1.2 s for the others, changes were in force after 4.7 s.
+// cut off from the leader: 1.5 s for the first, one reply for each of two others, then another
+// zone. With 2.7 s for the first and 1.2 s for the others, changes were in force after 4.7 s.
 BOOST_AUTO_TEST_CASE(findsParentInAnotherZoneWhenItsOwnZoneIsCutOff)
 {
-    for (int self = 0; self < 20; ++self) {
+    for (int self = 0; self < 40; ++self) {
         Bench bench("10.0.0." + std::to_string(self));
-        std::vector<ParentCandidate> candidates = stores(3);
+        std::vector<ParentCandidate> candidates = stores(self < 20 ? 3 : 8);
         const std::set<HostId> cutOff = hostsOf(candidates);
         for (const ParentCandidate &far : stores(8, 2)) {
             candidates.push_back(far);
