Tests: the servers that a leader uses are read once there is a leader

Cause, traced in the test: usableServers reads the view of host leader(), which is 0 while a group elects; a busy machine may cause an election within the 400 ms that the test lets pass. The tested code has no part in it.

--- a/persimmonlb/fleetnode/fleetnode_test.cpp
+++ b/persimmonlb/fleetnode/fleetnode_test.cpp
@@ -49,6 +49,8 @@
 std::set<std::string> usableServers(LoopbackFleet &fleet)
 {
     std::set<std::string> usable;
+    // A busy machine may cause an election at any time; whoever leads must know the ends.
+    BOOST_REQUIRE(fleet.runUntil([&fleet] { return fleet.leader() != 0; }));
     for (const FleetServer &server : fleet.node(fleet.leader()).status().view.servers) {
         if (!server.draining) {
             usable.insert(server.id.value);
