--- a/review/standin-2/standin.cpp
+++ b/review/standin-2/standin.cpp
@@ -4,9 +4,10 @@
 //   standin call METHOD IP:PORT TARGET [-H "Name: value"]... [-d FILE] [-t SECONDS]
 //     Sends one request on a new connection. Prints the status (000 without an answer) and, on the next lines, the body.
 //
-//   standin engine --listen IP:PORT --id ID --service NAME --zone ZONE --controls IP:PORT,... [--slots N] [--events N]
-//                  [--interval-ms N] [--fail STATUS --fail-percent N --fail-from N --fail-to N] --record FILE
-//     A model server: registers itself, streams `--events` events to each request, resumes behind Last-Event-Id, and
+//   standin engine --listen IP:PORT --id ID --service NAME --zone ZONE --controls IP:PORT,... [--slots N] [--memory-tokens N] [--events N]
+//                  [--interval-ms N] [--endless-bytes N] [--fail STATUS --fail-percent N --fail-from N --fail-to N] --record FILE
+//     A model server: registers itself, streams `--events` events to each request, resumes behind Last-Event-Id, refuses
+//     what is larger than its memory as if it were full (503 with Not-Executed), and
 //     answers `--fail-percent` of the requests that arrive between seconds `--fail-from` and `--fail-to` after its start
 //     with STATUS, after it has read them whole and begun to work on them.
 #include <arpa/inet.h>
@@ -290,8 +291,10 @@
     std::string zone;
     std::vector<std::string> controls;
     int slots = 8;
+    long memoryTokens = 72000;
     int events = 20;
     int intervalMs = 20;
+    std::size_t endlessBytes = 0;
     int failStatus = 0;
     int failPercent = 0;
     double failFrom = 0;
@@ -406,6 +409,14 @@
             log("refuses " + id + " 421");
             return respond(socket, "421 Misdirected Request", echo + "Not-Executed: 1\r\n", "");
         }
+        const std::string tokens = request.header("token-count");
+        const std::size_t comma = tokens.find(',');
+        const long size = std::atol(tokens.c_str())
+            + (comma == std::string::npos ? 0 : std::atol(tokens.c_str() + comma + 1));
+        if (size > options_.memoryTokens) {
+            log("refuses " + id + " 503 larger than its memory");
+            return respond(socket, "503 Service Unavailable", echo + "Not-Executed: 1\r\n", "");
+        }
         if (running_ >= options_.slots) {
             log("refuses " + id + " 503 full");
             return respond(socket, "503 Service Unavailable", echo + "Not-Executed: 1\r\n", "");
@@ -435,11 +446,13 @@
                          + "\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")) {
             return false;
         }
-        for (int event = std::atoi(last.c_str()) + 1; event <= options_.events; ++event) {
+        const std::string filling(options_.endlessBytes, 'x');
+        for (int event = std::atoi(last.c_str()) + 1;
+             event <= options_.events || options_.endlessBytes > 0; ++event) {
             std::this_thread::sleep_for(std::chrono::milliseconds(options_.intervalMs));
             pollfd watched{socket, POLLRDHUP, 0};
             const std::string text = "id: " + std::to_string(event) + "\ndata: " + id + "/"
-                + std::to_string(event) + "\n\n";
+                + std::to_string(event) + filling + "\n\n";
             char size[16];
             std::snprintf(size, sizeof size, "%zx\r\n", text.size());
             if (poll(&watched, 1, 0) > 0 || !sendAll(socket, size + text + "\r\n")) {
@@ -481,10 +494,14 @@
             }
         } else if (name == "--slots") {
             options.slots = std::atoi(value.c_str());
+        } else if (name == "--memory-tokens") {
+            options.memoryTokens = std::atol(value.c_str());
         } else if (name == "--events") {
             options.events = std::atoi(value.c_str());
         } else if (name == "--interval-ms") {
             options.intervalMs = std::atoi(value.c_str());
+        } else if (name == "--endless-bytes") {
+            options.endlessBytes = std::strtoull(value.c_str(), nullptr, 10);
         } else if (name == "--fail") {
             options.failStatus = std::atoi(value.c_str());
         } else if (name == "--fail-percent") {
