--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -2,6 +2,8 @@
 # A storage host is retired while it leads, and the store that joins for it loses its disk. Ten seconds after it is back,
 # another storage host loses its disk. See claim.txt.
 case_folder=review/6
+# TROUBLE=0 leaves out the disruption alone.
+trouble=${TROUBLE:-1}
 source "$(dirname "$0")/../fleet-2.sh"
 
 write_configuration 3 yes
--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -2,6 +2,8 @@
 # The storage host that leads is retired; 1.4 s later all storage processes are killed, and are back within 0.6 s. Some seconds
 # after that the configuration changes. Up to six small fleets, one after the other, at other addresses. See claim.txt.
 case_folder=review/7
+# TROUBLE=0 leaves out the disruption alone.
+trouble=${TROUBLE:-1}
 source "$(dirname "$0")/../fleet-2.sh"
 
 entries=6
--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -2,6 +2,8 @@
 # Thirty batch jobs of ten items come within some seconds; one item in twenty is larger than the memory of any server. See
 # claim.txt.
 case_folder=review/9
+# TROUBLE=0 leaves out the disruption alone.
+trouble=${TROUBLE:-1}
 source "$(dirname "$0")/../fleet-2.sh"
 source review/batchcheck-2.sh
 
--- a/review/fleet-2.sh
+++ b/review/fleet-2.sh
@@ -1,11 +1,10 @@
 # Functions of the scripts review/6 to review/10: a small fleet of the project's own processes on loopback addresses, with the
-# stand-in of review/standin-2. Source it after setting `case_folder`. Settings have the keys of deploy/settings.toml.in.
+# stand-in of review/standin-2. Source it after setting `case_folder` and `trouble`. Settings have the keys of deploy/settings.toml.in.
 set -u
 cd "$(dirname "${BASH_SOURCE[0]}")/.."
 node=$PWD/target/bin/persimmonlb-node
 standin=$PWD/target/review-2/standin
 [ -x "$node" ] && [ -x "$standin" ] || { echo "build the deploy file and review/build-2.sh first"; exit 2; }
-trouble=${TROUBLE:-1}
 record=$PWD/$case_folder/record.txt
 : >"$record"
 work=$(mktemp -d "${TMPDIR:-/tmp}/persimmonlb-review.XXXXXX")
