Log: hosts say when they have no parent, and what the first view of a leader names

Neither was in the log, so that a host that follows no leader could not be told from one whose leader is silent. parent_missing is written when no candidate is left; leader_changed has the version of the view, its storage hosts and its voters. No change of behaviour.

--- a/persimmonlb/fleetnode/fleetmesh.cpp
+++ b/persimmonlb/fleetnode/fleetmesh.cpp
@@ -141,6 +141,9 @@
         LogLine(LogLevel::Info, "leader_changed")
             .add("leader", view.leader.value)
             .add("term", static_cast<std::int64_t>(view.term))
+            .add("version", static_cast<std::int64_t>(view.version))
+            .add("stores", static_cast<std::int64_t>(view.stores.size()))
+            .add("voters", static_cast<std::int64_t>(votersOf(view).size()))
             .write();
         leaderHeardAt = clock.monotonic();
     }
--- a/persimmonlb/fleettree/parentchoice.cpp
+++ b/persimmonlb/fleettree/parentchoice.cpp
@@ -91,7 +91,9 @@
     hasAnswered_ = false;
     isProven_ = false;
     trialEndsAt_ = now + trialTime();
-    if (!parent_.empty()) {
+    if (parent_.empty()) {
+        LogLine(LogLevel::Warning, "parent_missing").add("host", self_.value).write();
+    } else {
         LogLine(LogLevel::Info, "parent_chosen")
             .add("parent", parent_.value)
             .add("candidates", static_cast<std::int64_t>(candidates_.size()))
