Parent candidates: a view never hides seeds, its leader and known storage hosts

A host without a parent reports to nobody and is told of no later view.

Three changes to the class, a partial view that is taken for the whole truth: - ParentCandidates: the view says whom to prefer, not whom to forget. Its leader, the members of the group, the seeds and the storage hosts of earlier views stay candidates, in the last tiers. - ParentChoice: while trials are in vain the tiers take turns and each candidate is tried before any is tried again; before, the first few were free again after 4 s and the later ones, such as seeds, were never reached. An entry host keeps a parent that has word of the leader although the first view does not name it, so that a fleet does not move to the new leader at once. - StorageRole: a leader lists itself before it makes its first view.

--- a/persimmonlb/fleetnode/fleetmesh.cpp
+++ b/persimmonlb/fleetnode/fleetmesh.cpp
@@ -152,6 +152,7 @@
     const bool moved = view.leader != formerLeader || change == nullptr || !change->stores.empty()
         || !change->goneStores.empty();
     if (moved) {
+        candidates.viewChanged(view);
         keepPeers();
     }
     supervisor.guard(gatewayChild, [&] { gateway->viewChanged(); });
--- a/persimmonlb/fleetnode/fleetnode_test.cpp
+++ b/persimmonlb/fleetnode/fleetnode_test.cpp
@@ -270,6 +270,50 @@
     BOOST_TEST(fleet.runUntil(allKnowLeader));
 }
 
+/// Guards against entry hosts without a parent: after a restart of all storage hosts the new leader
+/// made its first view before any of them, itself included, had reported.
+BOOST_AUTO_TEST_CASE(viewsNameTheirLeaderAndLeaveNoHostWithoutParent)
+{
+    LoopbackFleet fleet;
+    formGroup(fleet);
+    BOOST_REQUIRE(fleet.propose(fleet.leader(), routes(7)));
+    fleet.startEntry(9);
+    BOOST_REQUIRE(fleet.runUntil([&fleet] { return fleet.node(9).gateway()->isReady(); }));
+    for (std::uint64_t round = 0; round < 3; ++round) {
+        for (const int number : {2, 3, 4}) {
+            fleet.kill(number);
+        }
+        for (const int number : {2, 3, 4}) {
+            fleet.startStore(number, false);
+        }
+        bool isLeaderMissing = false;
+        bool isParentMissing = false;
+        const auto check = [&] {
+            for (const int number : {2, 3, 4, 9}) {
+                const FleetStatus status = fleet.node(number).status();
+                const FleetView &view = status.view;
+                isLeaderMissing = isLeaderMissing
+                    || (view.term > 0
+                        && std::ranges::find(view.stores, view.leader, &FleetStore::host)
+                            == view.stores.end());
+                isParentMissing = isParentMissing || (number == 9 && status.parent.empty());
+            }
+        };
+        BOOST_REQUIRE(fleet.runUntil([&] {
+            check();
+            return fleet.leader() != 0;
+        }));
+        fleet.runFor(Milliseconds(300), check);
+        BOOST_REQUIRE(fleet.propose(fleet.leader(), routes(8 + round)));
+        BOOST_TEST(fleet.runUntil([&] {
+            check();
+            return fleet.node(9).gateway()->routes()->version() == 8 + round;
+        }));
+        BOOST_TEST(!isLeaderMissing);
+        BOOST_TEST(!isParentMissing);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(AnExceptionInTheStoringPartRestartsItAlone)
 {
     LoopbackFleet fleet;
--- a/persimmonlb/fleetnode/fleetparts.cpp
+++ b/persimmonlb/fleetnode/fleetparts.cpp
@@ -50,6 +50,10 @@
     , client(HttpClient::create(context, clientOptions()))
     , control(controlOptions(settings), clock, random,
               [this](const HostId &to, PeerBody body) { return send(to, std::move(body)); })
+    , candidates({.self = settings.host,
+                  .availabilityZone = settings.availabilityZone,
+                  .stores = settings.stores,
+                  .seeds = seedHosts(settings)})
     , parent(ParentChoiceOptions{}, settings.host, clock)
     , leaderHeardAt(clock.monotonic())
 {
--- a/persimmonlb/fleetnode/fleetpeers.cpp
+++ b/persimmonlb/fleetnode/fleetpeers.cpp
@@ -57,31 +57,10 @@
 
 std::vector<ParentCandidate> FleetNode::Parts::parentCandidates() const
 {
-    std::vector<ParentCandidate> candidates;
     if (storage && storage->isLeader()) {
-        return candidates;
+        return {};
     }
-    if (view.term == 0) {
-        for (const HostId &seed : seedHosts(settings)) {
-            candidates.push_back({.host = seed});
-        }
-        return candidates;
-    }
-    for (const FleetStore &store : view.stores) {
-        if (!settings.stores) {
-            const bool isNear = store.availabilityZone == settings.availabilityZone;
-            // The leader has enough to do.
-            const bool isBusy = store.host == view.leader;
-            candidates.push_back(
-                {.host = store.host, .tier = (isNear ? 0U : 2U) + (isBusy ? 1 : 0)});
-            continue;
-        }
-        // A storage host reports to the leader, and to other voters while it cannot be reached.
-        if (store.votes) {
-            candidates.push_back({.host = store.host, .tier = store.host == view.leader ? 0U : 1U});
-        }
-    }
-    return candidates;
+    return candidates.of(view, storage ? storage->members() : std::vector<HostId>());
 }
 
 std::set<HostId> FleetNode::Parts::neededPeers() const
--- a/persimmonlb/fleetnode/internal/fleetparts.h
+++ b/persimmonlb/fleetnode/internal/fleetparts.h
@@ -13,6 +13,7 @@
 #include "persimmonlb/daemon/supervisor.h"
 #include "persimmonlb/daemon/timers.h"
 #include "persimmonlb/fleetnode/fleetnode.h"
+#include "persimmonlb/fleettree/parentcandidates.h"
 #include "persimmonlb/fleettree/parentchoice.h"
 #include "persimmonlb/http/client.h"
 #include "persimmonlb/http/reportedcallermemory.h"
@@ -84,6 +85,7 @@
     RoutesFreshness freshness{clock};
     std::uint64_t routesVersion = 0;
     std::set<HostId> connected;
+    ParentCandidates candidates;
     ParentChoice parent;
     bool needsWholeView = false; ///< A change did not fit.
     MonotonicTime leaderHeardAt; ///< Last word of the leader, as far as the parent knows.
--- a/persimmonlb/fleetnode/storageleading.cpp
+++ b/persimmonlb/fleetnode/storageleading.cpp
@@ -214,6 +214,7 @@
         quotas_.setCustomers(table->customers());
     }
     adoptFleet();
+    registerSelf();
     adoptSuspects();
     inspector_.begin();
     care_.leadershipBegan(control_->status());
@@ -256,6 +257,17 @@
     registry_.adoptEnds(saved);
 }
 
+void StorageRole::registerSelf()
+{
+    HostReport report;
+    report.name = deps_.settings.name;
+    report.meshAddress = deps_.settings.meshListen;
+    report.availabilityZone = deps_.settings.availabilityZone;
+    report.region = deps_.settings.region;
+    fillReport(report);
+    registry_.report(deps_.settings.host, report);
+}
+
 void StorageRole::adoptSuspects()
 {
     CrashSuspects suspects = deps_.crashes.currentSuspects();
--- a/persimmonlb/fleetnode/storagerole.h
+++ b/persimmonlb/fleetnode/storagerole.h
@@ -162,6 +162,8 @@
     void serverLeaves(const ServerLeaving &leaving);
     void takeLeaving(const ServerLeaving &leaving);
     void adoptFleet();
+    /// Lists this host before any storage host has reported, so that the first view names one.
+    void registerSelf();
     void adoptSuspects();
     /// Returns the servers and blocked suspects that the log keeps; empty if there are none.
     [[nodiscard]] FleetView savedView() const;
--- a/persimmonlb/fleettree/parentchoice.cpp
+++ b/persimmonlb/fleettree/parentchoice.cpp
@@ -20,43 +20,58 @@
 
 bool ParentChoice::setCandidates(std::vector<ParentCandidate> candidates)
 {
-    std::erase_if(candidates, [this](const ParentCandidate &known) { return known.host == self_; });
-    const auto rank = [this](const ParentCandidate &candidate) {
-        const std::size_t weight
-            = std::hash<std::string>()(self_.value + '/' + candidate.host.value);
-        return std::tuple(candidate.tier, weight, candidate.host);
-    };
-    std::ranges::sort(candidates, {}, rank);
-    candidates_ = std::move(candidates);
+    if (candidates != givenCandidates_) {
+        givenCandidates_ = candidates;
+        std::erase_if(candidates,
+                      [this](const ParentCandidate &known) { return known.host == self_; });
+        const auto rank = [this](const ParentCandidate &candidate) {
+            const std::size_t weight
+                = std::hash<std::string>()(self_.value + '/' + candidate.host.value);
+            return std::tuple(candidate.tier, weight, candidate.host);
+        };
+        std::ranges::sort(candidates, {}, rank);
+        candidates_ = std::move(candidates);
+    }
     const auto isParent = [this](const ParentCandidate &known) {
         return known.host == parent_;
     };
     const auto found = std::ranges::find_if(candidates_, isParent);
+    if (found == candidates_.end()) {
+        return (!parent_.empty() || !candidates_.empty()) && choose();
+    }
     // One of a better tier is not waited for: the tier says what a host is, such as the leader.
-    const bool worseTier = found != candidates_.end() && found->tier > candidates_.front().tier
-        && !rests(candidates_.front().host);
-    return (found == candidates_.end() || worseTier) && choose();
+    const bool worseTier
+        = found->tier > candidates_.front().tier && !isResting(candidates_.front().host);
+    const bool isKept = found->isKeptWhileProven && isProven_;
+    return worseTier && !isKept && choose();
 }
 
-bool ParentChoice::rests(const HostId &host) const
+bool ParentChoice::isResting(const HostId &host) const
 {
     const auto found = restsUntil_.find(host);
-    return found != restsUntil_.end() && clock_.monotonic() < found->second;
+    return triedInVain_.contains(host)
+        || (found != restsUntil_.end() && clock_.monotonic() < found->second);
+}
+
+std::uint32_t ParentChoice::turnsOf(std::uint32_t tier) const
+{
+    const auto found = vainTrialsByTier_.find(tier);
+    const std::uint32_t trials = found == vainTrialsByTier_.end() ? 0 : found->second;
+    return tier == candidates_.front().tier ? trials / options_.trialsOfTier : trials;
 }
 
 HostId ParentChoice::best() const
 {
-    HostId first;
+    const ParentCandidate *best = nullptr;
     for (const ParentCandidate &candidate : candidates_) {
-        if (rests(candidate.host)) {
+        if (isResting(candidate.host)) {
             continue;
         }
-        if (vainTrials_ < options_.trialsOfTier || !vainTiers_.contains(candidate.tier)) {
-            return candidate.host;
+        if (best == nullptr || turnsOf(candidate.tier) < turnsOf(best->tier)) {
+            best = &candidate;
         }
-        first = first.empty() ? candidate.host : first;
     }
-    return first;
+    return best == nullptr ? HostId() : best->host;
 }
 
 Milliseconds ParentChoice::trialTime() const
@@ -80,6 +95,8 @@
     if (next.empty() && !candidates_.empty()) {
         // All were tried in vain: from the front again.
         restsUntil_.clear();
+        triedInVain_.clear();
+        vainTrialsByTier_.clear();
         next = candidates_.front().host;
     }
     if (next == parent_) {
@@ -111,9 +128,10 @@
         return;
     }
     ++vainTrials_;
+    triedInVain_.insert(parent_);
     const auto candidate = std::ranges::find(candidates_, parent_, &ParentCandidate::host);
     if (candidate != candidates_.end()) {
-        vainTiers_.insert(candidate->tier);
+        ++vainTrialsByTier_[candidate->tier];
     }
 }
 
@@ -128,7 +146,8 @@
         leaderHeardAt_ = isProven_ ? std::max(leaderHeardAt_, heardAt_ - age) : heardAt_ - age;
         isProven_ = true;
         vainTrials_ = 0;
-        vainTiers_.clear();
+        triedInVain_.clear();
+        vainTrialsByTier_.clear();
     }
 }
 
--- a/persimmonlb/fleettree/parentchoice.h
+++ b/persimmonlb/fleettree/parentchoice.h
@@ -26,9 +26,12 @@
     /// the connections of a fleet that looks for one would keep the leader from telling it.
     std::uint32_t quickTrials = 4;
     Milliseconds longestTrial{6000};
-    /// After so many trials in vain a host of another tier goes first, for example of another zone.
+    /// While trials are in vain the tiers take turns, so that a whole tier that is cut off or gone
+    /// delays no other one. The first tier, for example the zone of this host, gets so many trials
+    /// in each turn, the others one.
     std::uint32_t trialsOfTier = 2;
-    /// A parent that was left is not chosen again for so long, while there are others.
+    /// A parent that was left is not chosen again for so long, while there are others. One that was
+    /// tried in vain is not chosen again before all others were tried.
     Milliseconds rest{4000};
     /// After this a host goes back to a parent that it ranks higher, so that the load of a storage
     /// host that restarted spreads again.
@@ -40,6 +43,9 @@
     HostId host;
     /// Lower ones go first; those of one tier are ranked by a hash that differs from host to host.
     std::uint32_t tier = 0;
+    /// As the parent it is not left at once for one of a better tier, while it has word of the
+    /// leader: it is missing in a view that may have been made before the leader heard of it.
+    bool isKeptWhileProven = false;
 
     bool operator==(const ParentCandidate &) const = default;
 };
@@ -67,7 +73,10 @@
     void leave();
     /// True when another parent was chosen.
     bool choose();
-    [[nodiscard]] bool rests(const HostId &host) const;
+    /// True if the host was left lately, or tried in vain since any parent had word of the leader.
+    [[nodiscard]] bool isResting(const HostId &host) const;
+    /// How often it was a tier's turn, while trials are in vain.
+    [[nodiscard]] std::uint32_t turnsOf(std::uint32_t tier) const;
     /// The best candidate that does not rest; empty if all do.
     [[nodiscard]] HostId best() const;
     /// For how long the next parent is tried.
@@ -78,6 +87,7 @@
     ParentChoiceOptions options_;
     HostId self_;
     Clock clock_;
+    std::vector<ParentCandidate> givenCandidates_; ///< As given last.
     std::vector<ParentCandidate> candidates_; ///< Best first.
     std::map<HostId, MonotonicTime> restsUntil_;
     HostId parent_;
@@ -88,7 +98,8 @@
     bool isProven_ = false; ///< The parent had word of the leader since it was chosen.
     MonotonicTime trialEndsAt_; ///< Of a parent that is not proven.
     std::uint32_t vainTrials_ = 0; ///< Parents left since the last one with word of the leader.
-    std::set<std::uint32_t> vainTiers_; ///< Theirs.
+    std::set<HostId> triedInVain_; ///< They.
+    std::map<std::uint32_t, std::uint32_t> vainTrialsByTier_;
 };
 
 } // namespace persimmonlb
--- a/persimmonlb/fleettree/parentchoice_test.cpp
+++ b/persimmonlb/fleettree/parentchoice_test.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <set>
 
 #include <boost/test/unit_test.hpp>
@@ -53,6 +54,16 @@
     return result;
 }
 
+std::vector<ParentCandidate> storesOfFourTiers()
+{
+    std::vector<ParentCandidate> candidates = stores(12);
+    for (const std::uint32_t tier : {1U, 2U, 5U}) {
+        const auto more = stores(6, tier);
+        candidates.insert(candidates.end(), more.begin(), more.end());
+    }
+    return candidates;
+}
+
 std::set<HostId> hostsOf(const std::vector<ParentCandidate> &candidates)
 {
     std::set<HostId> hosts;
@@ -219,6 +230,44 @@
     BOOST_TEST(tried.size() == 3U);
 }
 
+// Guards against a search that tries the same few hosts again and again: those that were left first
+// were free again before the later ones had their turn.
+BOOST_AUTO_TEST_CASE(triesEachCandidateOnceBeforeAnyIsTriedAgain)
+{
+    Bench bench;
+    const auto candidates = storesOfFourTiers();
+    bench.choice.setCandidates(candidates);
+    std::set<HostId> tried{bench.choice.parent()};
+    std::size_t moves = 0;
+    for (int step = 0; step < 1000 && tried.size() < candidates.size(); ++step) {
+        bench.pass(reportInterval, {});
+        bench.choice.setCandidates(candidates);
+        moves += tried.insert(bench.choice.parent()).second ? 1 : 0;
+    }
+    BOOST_TEST(tried.size() == candidates.size());
+    BOOST_TEST(moves == candidates.size() - 1);
+}
+
+// Guards against seconds in vain among the hosts of one tier, for example a zone that is gone.
+BOOST_AUTO_TEST_CASE(triesEachTierEarlyWhenTheFirstIsGone)
+{
+    Bench bench;
+    const auto candidates = storesOfFourTiers();
+    bench.choice.setCandidates(candidates);
+    std::set<std::uint32_t> tiers;
+    // Two trials of the first tier and one of each other.
+    HostId parent;
+    for (int moves = 0; moves < 5;) {
+        if (bench.choice.parent() != parent) {
+            parent = bench.choice.parent();
+            ++moves;
+            tiers.insert(std::ranges::find(candidates, parent, &ParentCandidate::host)->tier);
+        }
+        bench.pass(reportInterval, {});
+    }
+    BOOST_TEST(tiers.size() == 4U);
+}
+
 BOOST_AUTO_TEST_CASE(AHostIsNotItsOwnParent)
 {
     Bench bench("s0-0");
