Parent choice: a storage host reports to the leader once it can be reached

A host of the first tier no longer rests once the connection to it is made, or once a view names it as the leader; if it is the parent already, its trial begins anew. Only storage hosts do so: entry hosts leave the leader to others anyway.

ParentChoiceTest/returnsToHostOfBetterTierWhenItsRestEnds and beginsTrialOfParentAnewWhenItIsKnownToLead are of the new function.

--- a/persimmonlb/fleetnode/fleetmesh.cpp
+++ b/persimmonlb/fleetnode/fleetmesh.cpp
@@ -146,6 +146,10 @@
             .add("voters", static_cast<std::int64_t>(votersOf(view).size()))
             .write();
         leaderHeardAt = clock.monotonic();
+        if (settings.stores) {
+            // It may have been left while it knew of no leader either.
+            parent.giveNewTrial(view.leader);
+        }
     }
     control.setControlHosts(votersOf(view));
     control.noteLeader(view.leader);
--- a/persimmonlb/fleetnode/fleetpeers.cpp
+++ b/persimmonlb/fleetnode/fleetpeers.cpp
@@ -168,6 +168,9 @@
 {
     connected.insert(peer);
     if (peer == view.leader) {
+        if (settings.stores) {
+            parent.giveNewTrial(peer);
+        }
         supervisor.guard(gatewayChild, [&] { gateway->leaderReached(peer); });
     }
     supervisor.guard(storageChild, [&] { storage->hostConnected(peer); });
--- a/persimmonlb/fleettree/parentchoice.cpp
+++ b/persimmonlb/fleettree/parentchoice.cpp
@@ -103,11 +103,7 @@
         return false;
     }
     parent_ = next;
-    chosenAt_ = now;
-    heardAt_ = now;
-    hasAnswered_ = false;
-    isProven_ = false;
-    trialEndsAt_ = now + trialTime();
+    beginTrial();
     if (parent_.empty()) {
         LogLine(LogLevel::Warning, "parent_missing").add("host", self_.value).write();
     } else {
@@ -159,6 +155,24 @@
     }
 }
 
+void ParentChoice::giveNewTrial(const HostId &host)
+{
+    restsUntil_.erase(host);
+    triedInVain_.erase(host);
+    if (host == parent_ && !isProven_) {
+        beginTrial();
+    }
+}
+
+void ParentChoice::beginTrial()
+{
+    chosenAt_ = clock_.monotonic();
+    heardAt_ = chosenAt_;
+    hasAnswered_ = false;
+    isProven_ = false;
+    trialEndsAt_ = chosenAt_ + trialTime();
+}
+
 bool ParentChoice::tick()
 {
     const MonotonicTime now = clock_.monotonic();
--- a/persimmonlb/fleettree/parentchoice.h
+++ b/persimmonlb/fleettree/parentchoice.h
@@ -63,6 +63,10 @@
     void heard(const HostId &host, Milliseconds age);
     /// The connection to a host was lost.
     void lost(const HostId &host);
+    /// Something is known of the host that no trial could show, for example that it leads or can be
+    /// reached: it may be chosen again although it was left lately, and its trial begins anew if it
+    /// is the parent.
+    void giveNewTrial(const HostId &host);
     /// True when another parent was chosen. Call each 20 ms or so.
     bool tick();
 
@@ -73,6 +77,8 @@
     void leave();
     /// True when another parent was chosen.
     bool choose();
+    /// The parent must show word of the leader from now on.
+    void beginTrial();
     /// True if the host was left lately, or tried in vain since any parent had word of the leader.
     [[nodiscard]] bool isResting(const HostId &host) const;
     /// How often it was a tier's turn, while trials are in vain.
--- a/persimmonlb/fleettree/parentchoice_test.cpp
+++ b/persimmonlb/fleettree/parentchoice_test.cpp
@@ -268,6 +268,45 @@
     BOOST_TEST(tiers.size() == 4U);
 }
 
+// Guards against a leader that does not hear of a storage host for four seconds: the host had left
+// it before they were connected, or before it led, and reported to another one meanwhile. The
+// leader refused retirements for want of storage hosts, and replaced no lost one by it.
+BOOST_AUTO_TEST_CASE(returnsToHostOfBetterTierWhenItsRestEnds)
+{
+    Bench bench;
+    std::vector<ParentCandidate> candidates = stores(2, 1);
+    const HostId leader{"s0-0"};
+    candidates.push_back({leader, 0});
+    bench.choice.setCandidates(candidates);
+    BOOST_TEST(bench.choice.parent().value == leader.value);
+    bench.pass(2 * reportInterval, {});
+    const HostId other = bench.choice.parent();
+    BOOST_TEST(other.value != leader.value);
+    bench.pass(2 * reportInterval, {other});
+    BOOST_TEST(!bench.choice.setCandidates(candidates));
+    bench.choice.giveNewTrial(leader);
+    BOOST_TEST(bench.choice.setCandidates(candidates));
+    BOOST_TEST(bench.choice.parent().value == leader.value);
+}
+
+// Guards against the same for a host whose trial began long before it led: a storage host that took
+// a second to open its store left the leader 9 ms after it had learned who leads.
+BOOST_AUTO_TEST_CASE(beginsTrialOfParentAnewWhenItIsKnownToLead)
+{
+    Bench bench;
+    std::vector<ParentCandidate> candidates = stores(2, 1);
+    const HostId leader{"s0-0"};
+    candidates.push_back({leader, 0});
+    bench.choice.setCandidates(candidates);
+    bench.now += Milliseconds(1700);
+    bench.choice.giveNewTrial(leader);
+    BOOST_TEST(!bench.choice.tick());
+    BOOST_TEST(bench.choice.parent().value == leader.value);
+    // It does not wait for ever.
+    bench.pass(2 * reportInterval, {});
+    BOOST_TEST(bench.choice.parent().value != leader.value);
+}
+
 BOOST_AUTO_TEST_CASE(AHostIsNotItsOwnParent)
 {
     Bench bench("s0-0");
