Member change: no step waits for ever on the joining host

The host that joined for the retired one had lost its disk once it voted: the change ended only when that host held everything (MemberChange::carryOn), giveUpFresh() refused a voter, and GroupCare proposes nothing while a change is in progress.

- A change whose lost member is removed and whose fresh one votes is complete, whatever has become of the fresh one: it is a lost voter like any other then, and is replaced.
- A fresh host that votes beside the lost one can be taken back, if it does not answer and a majority of the voters does.
- A lost member that does not answer is removed before the fresh one votes.
With both as voters the loss of the fresh host, often the same machine again, left two of four voters, which is no quorum for good.
- A fresh host that lacks entries and takes none for 10 s is given up without advice; an invitation can be taken back, and counts as a change in progress, so that GroupCare sees it.
- GroupCare tries other unused stores before one that did not join, and does not take its reports from an earlier time as the leader for news.

--- a/persimmonlb/agreement/agreement.cpp
+++ b/persimmonlb/agreement/agreement.cpp
@@ -386,8 +386,8 @@
         .appliedIndex = core_.appliedIndex,
         .lastIndex = core_.lastIndex(),
         .members = {},
-        .changeInProgress = configuration.replacement.has_value(),
-        .joining = configuration.replacement ? configuration.replacement->fresh : HostId(),
+        .changeInProgress = !memberChange_.joining().empty(),
+        .joining = memberChange_.joining(),
     };
     for (const Member &member : configuration.members) {
         const bool known = core_.role() == Role::Leader;
--- a/persimmonlb/agreement/agreement.h
+++ b/persimmonlb/agreement/agreement.h
@@ -69,7 +69,7 @@
     std::uint64_t lastIndex = 0;
     std::vector<MemberStatus> members; ///< Empty when the group was never started here.
     bool changeInProgress = false; ///< A member is being replaced or added.
-    HostId joining = {}; ///< The member that a change in progress adds.
+    HostId joining = {}; ///< The member that a change in progress adds, also if only invited.
 
     bool operator==(const GroupStatus &) const = default;
 };
@@ -127,8 +127,10 @@
     /// next leader carries the change on.
     void replaceMember(const HostId &lost, const HostId &fresh, BarrierDone done);
 
-    /// Gives up a replacement whose fresh host does not vote yet: it may have lost its disk. Does
-    /// nothing on a member that does not lead, and while the last change is not committed.
+    /// Takes a replacement back whose fresh host was lost, for example with its disk. Does nothing
+    /// on a member that does not lead, while the last change is not committed, and for a host that
+    /// votes while it answers or no majority of the voters does. A leader does the same by itself
+    /// for a host that takes no entries for 10 s.
     void giveUpFresh();
 
     [[nodiscard]] GroupStatus status() const;
--- a/persimmonlb/agreement/internal/memberchange.h
+++ b/persimmonlb/agreement/internal/memberchange.h
@@ -11,8 +11,13 @@
 {
 
 /// Replaces a member, one single-member change after the other: the fresh host is asked for its
-/// disk, joins as a learner, is promoted when it holds everything acknowledged, then the lost one
-/// is removed. The replacement is part of the member list, so that any leader carries it on.
+/// disk and joins as a learner; when it holds everything acknowledged it is promoted and the lost
+/// one is removed. The replacement is part of the member list, so that any leader carries it on.
+///
+/// A lost member that still answers is removed after the promotion, so that the group bears a loss
+/// at any moment. One that does not answer is removed before it: with both of them as voters, the
+/// loss of the fresh host would leave the group without a quorum for good. A replacement whose
+/// fresh host is lost or does not advance is taken back, or complete once the lost one is removed.
 class MemberChange
 {
 public:
@@ -21,8 +26,11 @@
                  std::function<void(const Configuration &)> appendConfiguration);
 
     void replace(const HostId &lost, const HostId &fresh, Agreement::BarrierDone done);
-    /// Takes the fresh host out again while it does not vote.
+    /// Takes a replacement back whose fresh host was lost. Nothing happens while the newest member
+    /// list is not committed or no quorum answers; one that votes and answers stays.
     void giveUpFresh();
+    /// The member that a change adds, from its invitation on; empty if no change is in progress.
+    [[nodiscard]] HostId joining() const;
     /// Takes the answer of a host that may not be a member yet.
     void receive(const HostId &from, const AppendReply &reply);
     /// Does the next change when the one before is committed and its condition holds.
@@ -42,7 +50,16 @@
     [[nodiscard]] std::optional<Error> refusal(const HostId &lost, const HostId &fresh) const;
     [[nodiscard]] bool settled() const;
     void carryOn(const Configuration &configuration);
+    void complete(Configuration configuration);
     void completeWhenSynced();
+    /// Takes the fresh host out of the member list.
+    void takeBack(const Configuration &configuration);
+    /// True if the member answered a message of the last few heartbeats.
+    [[nodiscard]] bool isAnswering(const HostId &host) const;
+    /// True if a majority of the voters did.
+    [[nodiscard]] bool isQuorumAnswering() const;
+    /// True if a member that lacks entries has taken none for too long.
+    [[nodiscard]] bool isStalled(const HostId &host) const;
     void answer(Outcome<Done> outcome);
 
     Core &core_;
--- a/persimmonlb/agreement/internal/progress.h
+++ b/persimmonlb/agreement/internal/progress.h
@@ -26,6 +26,8 @@
     std::uint64_t ackedRound = 0;
     /// When the newest round was sent that it has answered.
     MonotonicTime contactAt = MonotonicTime::min();
+    /// When `matchIndex` rose last or a part of a snapshot arrived; else when it became a member.
+    MonotonicTime advancedAt;
     std::uint64_t validFromRound = 0; ///< Failures of earlier rounds are out of date.
     bool probeSent = false;
     bool diskKnown = false; ///< It answered in this term with the disk that the group knows.
--- a/persimmonlb/agreement/internal/replicator.h
+++ b/persimmonlb/agreement/internal/replicator.h
@@ -43,6 +43,10 @@
     [[nodiscard]] std::uint64_t quorumRound() const;
     [[nodiscard]] std::uint64_t currentRound() const;
     [[nodiscard]] std::uint64_t matchIndex(const HostId &host) const;
+    /// The member answered a message sent at this moment or later; the least time if it has not.
+    [[nodiscard]] MonotonicTime contactAt(const HostId &host) const;
+    /// When the member last took something that it lacked, or when it became one.
+    [[nodiscard]] MonotonicTime advancedAt(const HostId &host) const;
 
 private:
     [[nodiscard]] AppendRequest makeRequest(std::uint64_t previousIndex) const;
--- a/persimmonlb/agreement/memberchange.cpp
+++ b/persimmonlb/agreement/memberchange.cpp
@@ -10,6 +10,12 @@
 
 /// How long the fresh host may take to answer before the change is given up.
 constexpr Milliseconds inviteTimeout{10000};
+/// How long it may then take nothing although it lacks entries.
+constexpr Milliseconds stallTimeout{10000};
+/// A member that answered no message of this many heartbeats is taken for gone. A quorum must have
+/// answered more lately than that: it may have been lost in the same moment.
+constexpr int missedHeartbeats = 4;
+constexpr int missedHeartbeatsOfQuorum = 2;
 
 } // namespace
 
@@ -81,26 +87,61 @@
     completeWhenSynced();
 }
 
+bool MemberChange::isAnswering(const HostId &host) const
+{
+    return core_.now() - core_.options.timeouts.heartbeat * missedHeartbeats
+        <= replicator_.contactAt(host);
+}
+
+bool MemberChange::isQuorumAnswering() const
+{
+    return core_.now() - core_.options.timeouts.heartbeat * missedHeartbeatsOfQuorum
+        <= replicator_.quorumContact();
+}
+
+bool MemberChange::isStalled(const HostId &host) const
+{
+    return core_.now() - stallTimeout > replicator_.advancedAt(host);
+}
+
+HostId MemberChange::joining() const
+{
+    const Configuration &configuration = core_.configurations().latest();
+    if (configuration.replacement) {
+        return configuration.replacement->fresh;
+    }
+    return request_ ? request_->replacement.fresh : HostId();
+}
+
 void MemberChange::carryOn(const Configuration &configuration)
 {
     const auto &[lost, fresh] = *configuration.replacement;
-    const Member *learner = configuration.find(fresh);
-    const bool caughtUp = replicator_.matchIndex(fresh) >= core_.commitIndex;
-    if (learner == nullptr || !caughtUp) {
+    const Member *joining = configuration.find(fresh);
+    const bool isLostMember = configuration.find(lost) != nullptr;
+    if (joining == nullptr || (joining->voter && !isLostMember)) {
+        // Nothing is left to do, also if the fresh host has been lost meanwhile.
+        complete(configuration);
         return;
     }
-    if (!learner->voter) {
-        appendConfiguration_(
-            configuration.with({.host = fresh, .disk = learner->disk, .voter = true}));
+    if (replicator_.matchIndex(fresh) < core_.commitIndex) {
+        if (isStalled(fresh)) {
+            giveUpFresh();
+        }
         return;
     }
-    if (configuration.find(lost) != nullptr) {
+    const bool removesFirst
+        = !joining->voter && isLostMember && !isAnswering(lost) && isQuorumAnswering();
+    if (isLostMember && (joining->voter || removesFirst)) {
         appendConfiguration_(configuration.without(lost));
         return;
     }
-    Configuration complete = configuration;
-    complete.replacement.reset();
-    appendConfiguration_(complete);
+    appendConfiguration_(configuration.with({.host = fresh, .disk = joining->disk, .voter = true}));
+}
+
+void MemberChange::complete(Configuration configuration)
+{
+    configuration.replacement.reset();
+    appendConfiguration_(configuration);
 }
 
 void MemberChange::completeWhenSynced()
@@ -108,27 +149,45 @@
     if (!request_ || !request_->invited) {
         return;
     }
-    if (replicator_.matchIndex(request_->replacement.fresh) >= core_.commitIndex) {
+    const HostId &fresh = request_->replacement.fresh;
+    if (replicator_.matchIndex(fresh) >= core_.commitIndex) {
         answer(Done{});
+        return;
+    }
+    if (isStalled(fresh)) {
+        answer(makeError(ResultCode::PeerUnreachable, "the new member takes no entries"));
+    }
+}
+
+void MemberChange::takeBack(const Configuration &configuration)
+{
+    if (request_) {
+        answer(makeError(ResultCode::PeerUnreachable, "the new member was given up"));
     }
+    complete(configuration.without(configuration.replacement->fresh));
 }
 
 void MemberChange::giveUpFresh()
 {
-    const Configuration &configuration = core_.configurations().latest();
-    if (!configuration.replacement || !settled()) {
+    if (!settled()) {
         return;
     }
-    const HostId fresh = configuration.replacement->fresh;
-    if (configuration.isVoter(fresh)) {
+    const Configuration configuration = core_.configurations().latest();
+    if (!configuration.replacement) {
+        if (request_) {
+            answer(makeError(ResultCode::PeerUnreachable, "the new member was given up"));
+        }
         return;
     }
-    Configuration without = configuration.without(fresh);
-    without.replacement.reset();
-    if (request_) {
-        answer(makeError(ResultCode::PeerUnreachable, "the new member was given up"));
+    const auto &[lost, fresh] = *configuration.replacement;
+    if (!configuration.isVoter(fresh)) {
+        takeBack(configuration);
+        return;
+    }
+    // Without the lost member carryOn() completes the change.
+    if (configuration.find(lost) != nullptr && !isAnswering(fresh) && isQuorumAnswering()) {
+        takeBack(configuration);
     }
-    appendConfiguration_(without);
 }
 
 void MemberChange::tick()
--- a/persimmonlb/agreement/replicator.cpp
+++ b/persimmonlb/agreement/replicator.cpp
@@ -31,6 +31,7 @@
         if (added) {
             position->second.nextIndex = core_.lastIndex() + 1;
             position->second.validFromRound = rounds_.current();
+            position->second.advancedAt = core_.now();
         }
     }
 }
@@ -177,7 +178,10 @@
 
 void Replicator::acknowledged(const HostId &host, Progress &progress, std::uint64_t matchIndex)
 {
-    progress.matchIndex = std::max(progress.matchIndex, matchIndex);
+    if (matchIndex > progress.matchIndex) {
+        progress.matchIndex = matchIndex;
+        progress.advancedAt = core_.now();
+    }
     while (!progress.inFlight.empty() && progress.inFlight.front() <= progress.matchIndex) {
         progress.inFlight.pop_front();
     }
@@ -214,6 +218,7 @@
     if (reply.lastIndex != progress.snapshot->lastIndex()) {
         return;
     }
+    progress.advancedAt = core_.now();
     if (reply.installed) {
         progress.nextIndex = reply.lastIndex + 1;
         progress.snapshot.reset();
@@ -249,16 +254,25 @@
     return found == progress_.end() ? 0 : found->second.matchIndex;
 }
 
+MonotonicTime Replicator::contactAt(const HostId &host) const
+{
+    if (host == core_.options.self) {
+        return core_.now();
+    }
+    const auto found = progress_.find(host);
+    return found == progress_.end() ? MonotonicTime::min() : found->second.contactAt;
+}
+
+MonotonicTime Replicator::advancedAt(const HostId &host) const
+{
+    const auto found = progress_.find(host);
+    return found == progress_.end() ? MonotonicTime::min() : found->second.advancedAt;
+}
+
 MonotonicTime Replicator::quorumContact() const
 {
-    return quorumValue<MonotonicTime>(
-        core_.configurations().latest(), [&](const HostId &host) -> MonotonicTime {
-            if (host == core_.options.self) {
-                return core_.now();
-            }
-            const auto found = progress_.find(host);
-            return found == progress_.end() ? MonotonicTime::min() : found->second.contactAt;
-        });
+    return quorumValue<MonotonicTime>(core_.configurations().latest(),
+                                      [&](const HostId &host) { return contactAt(host); });
 }
 
 MonotonicTime Replicator::leaseEnd() const
--- a/persimmonlb/fleetnode/groupcare.cpp
+++ b/persimmonlb/fleetnode/groupcare.cpp
@@ -92,15 +92,21 @@
     }
 }
 
+void GroupCare::swapFailed(const HostId &fresh)
+{
+    failedAt_[hostOfMember(fresh)] = clock_.monotonic();
+}
+
 bool GroupCare::isLost(const HostId &member, const std::map<HostId, ReportedStore> &stores) const
 {
+    const MonotonicTime heardAt = heardAt_.at(member);
     const auto reported = stores.find(hostOfMember(member));
+    // An older report may be from an earlier time of this host as the leader.
     if (reported != stores.end() && !reported->second.member.empty()
-        && reported->second.member != member) {
+        && reported->second.member != member && reported->second.heardAt >= heardAt) {
         return true;
     }
-    const auto heard = heardAt_.find(member);
-    return heard == heardAt_.end() || clock_.monotonic() - heard->second > options_.voterSilence;
+    return clock_.monotonic() - heardAt > options_.voterSilence;
 }
 
 std::optional<HostId> GroupCare::lostVoter(const GroupStatus &status,
@@ -123,6 +129,19 @@
     return leaving;
 }
 
+void GroupCare::preferUntried(std::vector<HostId> &fresh)
+{
+    const MonotonicTime now = clock_.monotonic();
+    std::erase_if(failedAt_,
+                  [&](const auto &entry) { return now - entry.second > options_.failureRest; });
+    const auto hasFailed = [this](const HostId &member) {
+        return failedAt_.contains(hostOfMember(member));
+    };
+    if (!std::ranges::all_of(fresh, hasFailed)) {
+        std::erase_if(fresh, hasFailed);
+    }
+}
+
 GroupAdvice GroupCare::advise(const GroupStatus &status,
                               const std::map<HostId, ReportedStore> &stores,
                               const std::set<std::string> &retired)
@@ -134,6 +153,12 @@
             heard = std::max(heard, store.heardAt);
         }
     }
+    for (const MemberStatus &member : status.members) {
+        heardAt_.try_emplace(member.host, now);
+    }
+    if (status.changeInProgress) {
+        heardAt_.try_emplace(status.joining, now);
+    }
     GroupAdvice advice;
     if (status.changeInProgress) {
         advice.giveUpJoining = isLost(status.joining, stores);
@@ -153,6 +178,7 @@
             fresh.push_back(store.member);
         }
     }
+    preferUntried(fresh);
     if (fresh.empty()) {
         return advice;
     }
--- a/persimmonlb/fleetnode/groupcare.h
+++ b/persimmonlb/fleetnode/groupcare.h
@@ -20,6 +20,8 @@
     Milliseconds voterSilence{2500};
     /// A store that was heard within this time can take part.
     Milliseconds candidateAge{1000};
+    /// A store that a change gave up goes behind other unused ones for so long.
+    Milliseconds failureRest{30000};
     /// Losses at once that the group must bear; it grows to twice as many voters and one.
     std::uint32_t lossesBorne = 1;
 };
@@ -52,12 +54,16 @@
 public:
     GroupCare(GroupCareOptions options, Clock clock);
 
+    /// A change gave up this store, which was to join.
+    void swapFailed(const HostId &fresh);
     /// This host began to lead: every voter counts as heard just now.
     void leadershipBegan(const GroupStatus &status);
     GroupAdvice advise(const GroupStatus &status, const std::map<HostId, ReportedStore> &stores,
                        const std::set<std::string> &retired);
 
 private:
+    /// Drops stores that a change gave up lately, unless there are no others.
+    void preferUntried(std::vector<HostId> &fresh);
     /// True when nothing was heard of a member for too long, or its host has another store now.
     [[nodiscard]] bool isLost(const HostId &member,
                               const std::map<HostId, ReportedStore> &stores) const;
@@ -68,6 +74,7 @@
     GroupCareOptions options_;
     Clock clock_;
     std::map<HostId, MonotonicTime> heardAt_; ///< By member id.
+    std::map<HostId, MonotonicTime> failedAt_; ///< By host: when a change gave up its store.
 };
 
 /// What a host answers to a question for a member that it was with an earlier store: the process
--- a/persimmonlb/fleetnode/groupcare_test.cpp
+++ b/persimmonlb/fleetnode/groupcare_test.cpp
@@ -115,6 +115,67 @@
     BOOST_TEST(bench.advise().giveUpJoining);
 }
 
+/// Guards against a change of members that blocks all others while it waits for a host that it has
+/// only invited: the host is lost and not in the list of members yet.
+BOOST_AUTO_TEST_CASE(givesUpInvitedStoreThatFallsSilentOrComesBackAsAnother)
+{
+    for (const bool isSilent : {true, false}) {
+        Bench bench;
+        bench.hear("h4", "h4#1", true);
+        bench.advise();
+        bench.status.changeInProgress = true;
+        bench.status.joining = HostId{"h4#1"};
+        bench.pass(2000, {"h1", "h2", "h3"});
+        BOOST_TEST(!bench.advise().giveUpJoining);
+        if (isSilent) {
+            bench.pass(600, {"h1", "h2", "h3"});
+        } else {
+            bench.hear("h4", "h4#2", true);
+        }
+        BOOST_TEST(bench.advise().giveUpJoining);
+    }
+}
+
+/// Guards against a group that waits for ever on one host: the same store was chosen again each
+/// time, though it had never joined and others were unused.
+BOOST_AUTO_TEST_CASE(prefersOtherStoresToOneThatDidNotJoin)
+{
+    Bench bench;
+    bench.hear("h2", "h2#9", true);
+    bench.hear("h4", "h4#1", true);
+    BOOST_REQUIRE(bench.advise().swap.has_value());
+    const HostId first = bench.advise().swap->fresh;
+    bench.care.swapFailed(first);
+    BOOST_REQUIRE(bench.advise().swap.has_value());
+    BOOST_TEST(bench.advise().swap->fresh.value != first.value);
+    // Also under its next identity; alone it is better than none.
+    bench.hear("h2", "h2#10", true);
+    BOOST_TEST(bench.advise().swap->fresh.value == "h4#1");
+    bench.stores.erase(HostId{"h4"});
+    BOOST_TEST(bench.advise().swap->fresh.value == "h2#10");
+}
+
+/// Guards against a leader that replaces a sound voter by what it heard when it led before: the
+/// host has another store since then, which is the voter now.
+BOOST_AUTO_TEST_CASE(ignoresReportsFromBeforeItLed)
+{
+    Bench bench;
+    bench.hear("h4", "h4#1", true);
+    bench.status.members[1].host = HostId{"h2#9"};
+    bench.pass(5000, {"h1", "h3", "h4"});
+    bench.care.leadershipBegan(bench.status);
+    BOOST_TEST(!bench.advise().swap.has_value());
+    bench.hear("h2", "h2#9", false);
+    bench.pass(2000, {"h1", "h2", "h3", "h4"});
+    BOOST_TEST(!bench.advise().swap.has_value());
+    // One that it never heard of is lost after the silence, not at once.
+    bench.status.members[2].host = HostId{"h5#1"};
+    BOOST_TEST(!bench.advise().swap.has_value());
+    bench.pass(2600, {"h1", "h2", "h4"});
+    BOOST_REQUIRE(bench.advise().swap.has_value());
+    BOOST_TEST(bench.advise().swap->lost.value == "h5#1");
+}
+
 BOOST_AUTO_TEST_CASE(TheGroupGrowsUntilItBearsItsLosses)
 {
     Bench bench;
--- a/persimmonlb/fleetnode/storageleading.cpp
+++ b/persimmonlb/fleetnode/storageleading.cpp
@@ -403,10 +403,13 @@
         deps_.send(host, MemberRemoved{member});
     }
     if (advice.giveUpJoining) {
-        LogLine(LogLevel::Warning, "joining_member_given_up")
-            .add("member", control_->status().joining.value)
-            .write();
+        const HostId joining = control_->status().joining;
         control_->giveUpFresh();
+        if (control_->status().joining != joining) {
+            LogLine(LogLevel::Warning, "joining_member_given_up")
+                .add("member", joining.value)
+                .write();
+        }
     }
     if (!advice.swap) {
         return;
@@ -416,7 +419,11 @@
         .add("fresh", advice.swap->fresh.value)
         .write();
     control_->replaceMember(advice.swap->lost, advice.swap->fresh,
-                            [swap = *advice.swap](const Outcome<Done> &outcome) {
+                            [this, swap = *advice.swap](const Outcome<Done> &outcome) {
+                                if (!outcome.ok()
+                                    && outcome.error().code == ResultCode::PeerUnreachable) {
+                                    care_.swapFailed(swap.fresh);
+                                }
                                 LogLine(LogLevel::Info, "member_swap_ended")
                                     .add("lost", swap.lost.value)
                                     .add("fresh", swap.fresh.value)
