Bulk runner: an item that cannot start holds up no other one

The search for the next item took the one with the lowest cost and ended if no server could take just that one. An item larger than any server's memory fits only a server that runs nothing, is refused there, rests the server and is the first again 0.1 s later.

- A search is told the largest memory that a server has left, and whether only the reserve is free, and passes over items that these exclude.
An item whose text cannot be read is passed over too; before, it ended the search.
- An item that is larger than the memory of each server (as the routes have it) is not sent; it ends when its job is abandoned, the earliest moment that callers are told, and the log names the reason.
- Refusals of one item in a row delay it ever longer, up to 2 s, and from the third on they no longer rest the server, for batch and online requests, as it may be refusing this item alone.

--- a/persimmonlb/bulk/bulkmaintenance.cpp
+++ b/persimmonlb/bulk/bulkmaintenance.cpp
@@ -222,10 +222,29 @@
     });
 }
 
+std::string_view BulkRunner::reasonOfAbandoning(const ItemKey &key, const BulkJob &job) const
+{
+    const Progress *progress = findProgress(key);
+    const auto routes = hooks_.routes();
+    const Route *route = routes ? routeOf(job, *routes) : nullptr;
+    const std::uint64_t tokens = job.items[key.index].tokens;
+    const auto isTooSmall = [&](const WeightedService &choice) {
+        const auto memory = broker_.largestMemory(choice.service);
+        return memory && tokens > *memory;
+    };
+    if (route != nullptr && std::ranges::all_of(route->services, isTooSmall)) {
+        return "the item needs more memory than any server has";
+    }
+    if (progress != nullptr && progress->refusedRuns > 0) {
+        return "the servers refused the item until its job was abandoned";
+    }
+    return "the item was not completed in time";
+}
+
 void BulkRunner::deadLetterOverdue(const BulkTable &table)
 {
     const WallTime now = clock_.wall();
-    std::vector<ItemKey> overdue;
+    std::vector<std::pair<ItemKey, std::string_view>> overdue;
     for (const auto &[id, job] : table.jobs()) {
         if (!job.isOpen() || now < job.abandonAt + options_.abandonMargin) {
             continue;
@@ -234,15 +253,15 @@
             const ItemKey key{id, index};
             if (job.items[index].phase == BulkItemPhase::Waiting
                 && !unrecordedOutcomes_.contains(key)) {
-                overdue.push_back(key);
+                overdue.emplace_back(key, reasonOfAbandoning(key, job));
             }
         }
     }
-    for (const ItemKey &key : overdue) {
+    for (const auto &[key, reason] : overdue) {
         if (runs_.contains(key)) {
             endRun(key, SlotOutcome::Abandoned);
         }
-        recordOutcome(key, BulkItemPhase::DeadLettered, {}, "the item was not completed in time");
+        recordOutcome(key, BulkItemPhase::DeadLettered, {}, reason);
     }
 }
 
--- a/persimmonlb/bulk/bulkrunner.cpp
+++ b/persimmonlb/bulk/bulkrunner.cpp
@@ -87,11 +87,11 @@
     runs_.erase(run);
 }
 
-void BulkRunner::considerJob(const JobId &id, const BulkJob &job, const SearchTime &now,
+void BulkRunner::considerJob(const JobId &id, const BulkJob &job, const Search &search,
                              std::optional<Candidate> &best) const
 {
     const auto known = localItems_.find(id);
-    const auto timeUntilDue = std::chrono::duration_cast<Milliseconds>(job.dueAt - now.wall);
+    const auto timeUntilDue = std::chrono::duration_cast<Milliseconds>(job.dueAt - search.wall);
     bool untrackedSeen = false;
     for (std::uint32_t index = 0; index < job.items.size(); ++index) {
         const LocalItem item = known == localItems_.end() || known->second.size() <= index
@@ -100,17 +100,21 @@
         // All untracked items of a job have the same cost, so the first one stands for all.
         const bool isUntracked = item.state == LocalState::Untracked;
         const bool skip = item.state == LocalState::Running || (isUntracked && untrackedSeen);
-        if (skip || job.items[index].phase != BulkItemPhase::Waiting) {
+        if (skip || job.items[index].phase != BulkItemPhase::Waiting
+            || job.items[index].tokens > search.limits.maxTokens) {
             continue;
         }
         const ItemKey key{id, index};
         const Progress *progress = item.progress != nullptr ? item.progress : findProgress(key);
-        if (progress != nullptr && now.monotonic < progress->notBefore) {
+        if (progress != nullptr && search.monotonic < progress->notBefore) {
             continue;
         }
         const Milliseconds remaining
             = remainingTime(progress == nullptr ? 0 : progress->eventCount);
         const Milliseconds slack = timeUntilDue - remaining;
+        if (search.limits.urgentOnly && !isUrgent(slack)) {
+            continue;
+        }
         const bool willBeLate = slack.count() < 0;
         const auto cost = remaining
             + Milliseconds(static_cast<std::int64_t>(options_.slackWeight
@@ -129,9 +133,18 @@
     }
 }
 
+const Route *BulkRunner::routeOf(const BulkJob &job, const RouteTable &routes)
+{
+    const auto found = std::ranges::find_if(routes.routes(), [&job](const Route &route) {
+        return route.name == job.route && route.host == job.host;
+    });
+    return found == routes.routes().end() ? nullptr : &*found;
+}
+
 std::optional<BulkRunner::Candidate> BulkRunner::nextCandidate(const BulkTable &table,
                                                                const ServiceName &service,
-                                                               const RouteTable &routes) const
+                                                               const RouteTable &routes,
+                                                               const SearchLimits &limits) const
 {
     // Caches the result by route: jobs use few routes, and there may be thousands of routes.
     std::map<std::pair<std::string_view, std::string_view>, bool> servesByRoute;
@@ -140,27 +153,44 @@
         if (!isNew) {
             return entry->second;
         }
-        for (const Route &route : routes.routes()) {
-            if (route.name != job.route || route.host != job.host) {
-                continue;
-            }
-            entry->second
-                = std::ranges::any_of(route.services, [&service](const WeightedService &choice) {
-                      return choice.service == service && choice.weight > 0;
-                  });
-        }
+        const Route *route = routeOf(job, routes);
+        entry->second = route != nullptr
+            && std::ranges::any_of(route->services, [&service](const WeightedService &choice) {
+                            return choice.service == service && choice.weight > 0;
+                        });
         return entry->second;
     };
-    const SearchTime now{clock_.monotonic(), clock_.wall()};
+    const Search search{clock_.monotonic(), clock_.wall(), limits};
     std::optional<Candidate> best;
     for (const auto &[id, job] : table.jobs()) {
         if (job.isOpen() && isServed(job)) {
-            considerJob(id, job, now, best);
+            considerJob(id, job, search, best);
         }
     }
     return best;
 }
 
+bool BulkRunner::isUrgent(Milliseconds slack) const
+{
+    return slack.count() >= 0 && slack < options_.urgentSlack;
+}
+
+std::optional<BulkRunner::SearchLimits> BulkRunner::searchLimits(const ServiceName &service)
+{
+    SearchLimits limits{.urgentOnly = broker_.freeSlotsForBatch(service, false) == 0};
+    if (limits.urgentOnly
+        && (clock_.monotonic() < nextUrgentSearch_[service]
+            || broker_.freeSlotsForBatch(service, true) == 0)) {
+        return std::nullopt;
+    }
+    const auto maxTokens = broker_.maxBatchTokens(service);
+    if (!maxTokens) {
+        return std::nullopt;
+    }
+    limits.maxTokens = *maxTokens;
+    return limits;
+}
+
 void BulkRunner::startItems(const ServiceName &service)
 {
     const BulkTable *table = hooks_.table();
@@ -169,31 +199,27 @@
         return;
     }
     for (std::size_t started = 0; started < options_.maxStartsPerCall; ++started) {
-        const bool urgentOnly = broker_.freeSlotsForBatch(service, false) == 0;
-        const MonotonicTime now = clock_.monotonic();
-        if (urgentOnly
-            && (now < nextUrgentSearch_[service]
-                || broker_.freeSlotsForBatch(service, true) == 0)) {
+        const auto limits = searchLimits(service);
+        if (!limits) {
             return;
         }
-        const auto candidate = nextCandidate(*table, service, *routes);
-        if (!candidate || !startRun(*table, *candidate, service)) {
-            nextUrgentSearch_[service] = now + options_.searchRetryDelay;
+        const auto candidate = nextCandidate(*table, service, *routes, *limits);
+        if (!candidate || startRun(*table, *candidate, service) == StartResult::NoSlot) {
+            nextUrgentSearch_[service] = clock_.monotonic() + options_.searchRetryDelay;
             return;
         }
     }
 }
 
-bool BulkRunner::startRun(const BulkTable &table, const Candidate &candidate,
-                          const ServiceName &service)
+BulkRunner::StartResult BulkRunner::startRun(const BulkTable &table, const Candidate &candidate,
+                                             const ServiceName &service)
 {
     const ItemKey &key = candidate.key;
     const auto job = table.jobs().find(key.job);
     const std::uint64_t tokens = job->second.items[key.index].tokens;
-    const bool urgent = !candidate.willBeLate && candidate.slack < options_.urgentSlack;
-    const auto server = broker_.takeForBatch(service, tokens, urgent);
+    const auto server = broker_.takeForBatch(service, tokens, isUrgent(candidate.slack));
     if (!server) {
-        return false;
+        return StartResult::NoSlot;
     }
     const auto spec = table.spec(key.job, key.index);
     if (!spec) {
@@ -204,7 +230,7 @@
         broker_.batchEnded({*server, tokens}, SlotOutcome::Abandoned);
         progress_[key].notBefore = clock_.monotonic() + options_.failureBackoff;
         setLocalState(key, LocalState::Idle);
-        return false;
+        return StartResult::Unreadable;
     }
     Progress &progress = loadProgress(table, key);
     progress.events.reopen();
@@ -233,7 +259,7 @@
     run.exchange = hooks_.send(broker_.addressOf(*server), std::move(request), Milliseconds(0),
                                exchangeHooks(key, runNumber));
     metrics_.count("persimmonlb_bulk_runs_total", {});
-    return true;
+    return StartResult::Started;
 }
 
 BulkRunner::Progress &BulkRunner::loadProgress(const BulkTable &table, const ItemKey &key)
@@ -288,6 +314,10 @@
         }
         run->status = head.status;
         run->responseClass = hooks_.codec.classify(item->id, head);
+        if (run->responseClass == ResponseClass::Success
+            || run->responseClass == ResponseClass::Failure) {
+            progress_[key].refusedRuns = 0;
+        }
         const auto limit = hooks_.codec.requestLimitPerKs(head);
         if (limit && run->responseClass != ResponseClass::Mismatched) {
             hooks_.reportServerLimit({.server = run->slot.server,
@@ -359,8 +389,7 @@
     }
     switch (run->responseClass) {
     case ResponseClass::NotRun:
-        failRun(key, SlotOutcome::Refused, "the server did not run the request",
-                options_.refusalBackoff);
+        handleRefusal(key);
         return;
     case ResponseClass::Mismatched:
         failRun(key, SlotOutcome::Failed, "the response belongs to another request",
@@ -380,6 +409,18 @@
     endRun(key, status == unprocessableContent ? SlotOutcome::Abandoned : SlotOutcome::Failed);
 }
 
+void BulkRunner::handleRefusal(const ItemKey &key)
+{
+    constexpr std::uint32_t maxDoublings = 10;
+    Progress &progress = progress_[key];
+    const auto doublings = std::min(progress.refusedRuns, maxDoublings);
+    ++progress.refusedRuns;
+    const bool isOfServer = progress.refusedRuns < options_.refusalsOfItem;
+    failRun(key, isOfServer ? SlotOutcome::Refused : SlotOutcome::Abandoned,
+            "the server did not run the request",
+            std::min(options_.refusalBackoff * (1U << doublings), options_.maxRefusalBackoff));
+}
+
 Milliseconds BulkRunner::backoffAfterAbort(Progress &progress) const
 {
     constexpr std::uint32_t maxDoublings = 10;
--- a/persimmonlb/bulk/bulkrunner.h
+++ b/persimmonlb/bulk/bulkrunner.h
@@ -45,8 +45,12 @@
     /// output, or after the item could not be read.
     Milliseconds failureBackoff{500};
     /// Delay before an item is retried after its server refused it, or sent a stream in which an
-    /// event is missing or too long.
+    /// event is missing or too long. After refusals in a row it doubles up to `maxRefusalBackoff`.
     Milliseconds refusalBackoff{100};
+    Milliseconds maxRefusalBackoff{2000};
+    /// From so many refusals of an item in a row on, they say nothing of the servers, which may be
+    /// refusing this item alone.
+    std::uint32_t refusalsOfItem = 3;
     /// Servers may abort this many runs of an item before further retries are delayed. The delay
     /// begins at `failureBackoff` and doubles up to `maxAbortBackoff`.
     std::uint32_t abortsWithoutBackoff = 2;
@@ -101,6 +105,11 @@
 /// complete before they are due start after those that can. Progress is saved to the replicated
 /// state at intervals, so that another leader resumes from it.
 ///
+/// An item that cannot start now, whatever the reason, delays no other one: a search passes over
+/// items that no server has room for, that may not take a slot of the reserve, and that were
+/// refused or aborted lately. An item that is larger than the memory of each server is not sent,
+/// and ends when its job is abandoned.
+///
 /// An accepted item is owed whatever happens to the servers that run it: aborted runs delay its
 /// next run, and neither block it nor count as attempts.
 ///
@@ -153,6 +162,7 @@
         std::size_t savedBytes = 0; ///< Bytes of `output` that are saved in the replicated state.
         std::uint64_t fingerprint = 0; ///< Identifies the item's request; 0 before its first run.
         std::uint32_t abortedRuns = 0; ///< Runs without an event that servers ended, in a row.
+        std::uint32_t refusedRuns = 0; ///< Runs that servers refused, in a row.
         MonotonicTime notBefore; ///< Earliest start of the next run.
         ServerId lastServer; ///< Server of the item's latest run from this host.
         MonotonicTime lastRunAt; ///< Time at which that run started or, once it has ended, ended.
@@ -198,25 +208,45 @@
     /// Returns true if an item with `events` events has reached the average length of an item, so
     /// that its remaining time cannot be estimated.
     [[nodiscard]] bool isOverlong(std::uint64_t events) const;
-    /// Returns the item of the service with the lowest cost, or nothing if none can start.
+    /// What may start at the time of a search.
+    struct SearchLimits {
+        std::uint64_t maxTokens = 0; ///< The most memory that any server has left.
+        bool urgentOnly = false; ///< Only the slots of the reserve are free.
+    };
+    /// Returns nothing if no item may start on the service now.
+    [[nodiscard]] std::optional<SearchLimits> searchLimits(const ServiceName &service);
+    /// Returns the route that a job was submitted on, or null if it was removed.
+    [[nodiscard]] static const Route *routeOf(const BulkJob &job, const RouteTable &routes);
+    /// Returns the item of the service with the lowest cost among those that can start now, or
+    /// nothing if none can.
     [[nodiscard]] std::optional<Candidate> nextCandidate(const BulkTable &table,
                                                          const ServiceName &service,
-                                                         const RouteTable &routes) const;
-    /// Times of one search, read once for all items.
-    struct SearchTime {
+                                                         const RouteTable &routes,
+                                                         const SearchLimits &limits) const;
+    /// Times and limits of one search, read once for all items.
+    struct Search {
         MonotonicTime monotonic;
         WallTime wall;
+        SearchLimits limits;
     };
     /// Replaces `best` by the job's best item if that is better.
-    void considerJob(const JobId &id, const BulkJob &job, const SearchTime &now,
+    void considerJob(const JobId &id, const BulkJob &job, const Search &search,
                      std::optional<Candidate> &best) const;
+    /// True if an item with this slack may take a slot of the reserve.
+    [[nodiscard]] bool isUrgent(Milliseconds slack) const;
     [[nodiscard]] const Progress *findProgress(const ItemKey &key) const;
     /// Removes the progress of an item that has ended.
     void eraseProgress(const ItemKey &key);
     void setLocalState(const ItemKey &key, LocalState state);
     void eraseRun(std::map<ItemKey, Run>::iterator run);
-    /// Takes a slot and starts a run. Returns false if there is no slot or the item is unreadable.
-    bool startRun(const BulkTable &table, const Candidate &candidate, const ServiceName &service);
+    enum class StartResult : std::uint8_t {
+        Started,
+        NoSlot,
+        Unreadable, ///< The item is passed over for a while.
+    };
+    /// Takes a slot and starts a run.
+    StartResult startRun(const BulkTable &table, const Candidate &candidate,
+                         const ServiceName &service);
     HttpExchangeHooks exchangeHooks(const ItemKey &key, std::uint64_t runNumber);
     /// Returns the item's run if it is still run `runNumber`, or null.
     Run *findRun(const ItemKey &key, std::uint64_t runNumber);
@@ -231,6 +261,10 @@
     /// `backoff`.
     void failRun(const ItemKey &key, SlotOutcome outcome, std::string_view why,
                  Milliseconds backoff);
+    /// Ends a run that its server refused.
+    void handleRefusal(const ItemKey &key);
+    /// Returns why an item whose job is abandoned was not completed.
+    [[nodiscard]] std::string_view reasonOfAbandoning(const ItemKey &key, const BulkJob &job) const;
     /// Counts a run that its server ended without an event and returns the delay of the next one.
     [[nodiscard]] Milliseconds backoffAfterAbort(Progress &progress) const;
     void completeRun(const ItemKey &key);
--- a/persimmonlb/slots/slotbatch.cpp
+++ b/persimmonlb/slots/slotbatch.cpp
@@ -1,6 +1,7 @@
 // The part of SlotBroker that allocates slots to batch runs.
 #include <algorithm>
 #include <cmath>
+#include <optional>
 
 #include "persimmonlb/slots/slotbroker.h"
 
@@ -50,6 +51,31 @@
     return orphaned > 0 || free <= reserve ? 0 : free - reserve;
 }
 
+std::optional<std::uint64_t> SlotBroker::maxBatchTokens(const ServiceName &service) const
+{
+    std::optional<std::uint64_t> most;
+    const MonotonicTime now = clock_.monotonic();
+    for (const Server *server : serversOf(service)) {
+        if (canAcceptBatch(*server, 0, now)) {
+            most = std::max(most.value_or(0), prefixMemory(*server));
+        }
+    }
+    return most;
+}
+
+std::optional<std::uint64_t> SlotBroker::largestMemory(const ServiceName &service) const
+{
+    std::optional<std::uint64_t> largest;
+    for (const Server *server : serversOf(service)) {
+        const std::uint64_t memory = server->capacity.cacheTokens;
+        if (memory == 0) {
+            return std::nullopt;
+        }
+        largest = std::max(largest.value_or(0), memory);
+    }
+    return largest;
+}
+
 void SlotBroker::releaseBatch(const BatchRunSlot &run)
 {
     const auto found = servers_.find(run.server);
--- a/persimmonlb/slots/slotbroker.h
+++ b/persimmonlb/slots/slotbroker.h
@@ -165,6 +165,12 @@
     void recordOrphanedRequestEnd(const ServerId &server);
     /// Returns the number of slots that batch runs may take now; `urgent` as in takeForBatch().
     [[nodiscard]] std::uint32_t freeSlotsForBatch(const ServiceName &service, bool urgent) const;
+    /// Returns the most tokens that a batch run may need to start now: the largest memory that a
+    /// server with a free slot has left. Nothing if no server accepts a batch run.
+    [[nodiscard]] std::optional<std::uint64_t> maxBatchTokens(const ServiceName &service) const;
+    /// Returns the memory of the service's largest server in tokens, or nothing if that of one of
+    /// them is unknown or there is none. A request that needs more can never run.
+    [[nodiscard]] std::optional<std::uint64_t> largestMemory(const ServiceName &service) const;
     /// Returns the address of a server, or an empty string if it is unknown.
     [[nodiscard]] std::string addressOf(const ServerId &server) const;
     /// Returns the start time of the server process in milliseconds (FleetServer::bornMs), or 0 if
@@ -275,6 +281,10 @@
     [[nodiscard]] static std::uint32_t orphanedRequestsOn(const Server &server, MonotonicTime now);
     /// Counts online, batch and orphaned requests.
     [[nodiscard]] static std::uint32_t occupiedSlots(const Server &server, MonotonicTime now);
+    /// As canAccept(), for a batch run: it is not sent to a server that is too small for it, and
+    /// the limit of the server must allow a whole burst.
+    [[nodiscard]] static bool canAcceptBatch(const Server &server, std::uint64_t tokens,
+                                             MonotonicTime now);
     [[nodiscard]] static double serverCostMs(const Server &server, const SlotRequest &request,
                                              double serviceAverageHoldMs, MonotonicTime now);
     /// Returns the expected time to the first event and to completion, as a weighted sum.
@@ -286,7 +296,6 @@
     [[nodiscard]] static double slowdown(const Server &server, std::uint32_t requests);
     /// Returns an empty list for an unknown service.
     [[nodiscard]] const std::vector<Server *> &serversOf(const ServiceName &service) const;
-    /// `isBatch`: the limit of the server must allow a whole burst.
     [[nodiscard]] Server *bestServerFor(const SlotRequest &request, bool isBatch = false);
     void updateLimit(Server &server);
     /// Returns the requests per second that the service's usable servers can begin, or 0 if none of
--- a/persimmonlb/slots/slotchoice.cpp
+++ b/persimmonlb/slots/slotchoice.cpp
@@ -78,6 +78,13 @@
     return maxTokens == 0 || server.tokens == 0 || server.tokens + tokens <= maxTokens;
 }
 
+bool SlotBroker::canAcceptBatch(const Server &server, std::uint64_t tokens, MonotonicTime now)
+{
+    const std::uint64_t memory = server.capacity.cacheTokens;
+    const bool isLargeEnough = memory == 0 || tokens <= memory;
+    return isLargeEnough && canAccept(server, tokens, now) && server.limiter.allowsBurst(now);
+}
+
 double SlotBroker::serverCostMs(const Server &server, const SlotRequest &request,
                                 double serviceAverageHoldMs, MonotonicTime now)
 {
@@ -162,7 +169,9 @@
     const MonotonicTime now = clock_.monotonic();
     for (Server *candidate : serversOf(request.service)) {
         Server &server = *candidate;
-        if (!canAccept(server, request.tokens, now) || (isBatch && !server.limiter.allowsBurst(now))
+        const bool isAccepted = isBatch ? canAcceptBatch(server, request.tokens, now)
+                                        : canAccept(server, request.tokens, now);
+        if (!isAccepted
             || std::ranges::find(request.excluded, server.info.id) != request.excluded.end()) {
             continue;
         }
