Bulk runner: an item that cannot be sent rests no server

HttpClient refuses to send such a request; the runner took that for a server that cannot be reached, which rests for up to 4 s, and tried the item at once on the next one.

The runner asks for such an item once, keeps the server in use, and does not send the item again; it ends when its job is abandoned, and the log says that no request can be made of it.

Failed before: BlockedItemsTest/completesSoundItemsBesideItemsThatCannotBeSent (0 of 20 completed, no free slot).

--- a/persimmonlb/bulk/blockeditems_test.cpp
+++ b/persimmonlb/bulk/blockeditems_test.cpp
@@ -162,6 +162,23 @@
     BOOST_TEST(rests <= 6);
 }
 
+BOOST_AUTO_TEST_CASE(completesSoundItemsBesideItemsThatCannotBeSent)
+{
+    Fixture fixture({.servers = 2, .capacity = {2, 0}});
+    fixture.accept("b", 20);
+    fixture.accept("s", 20);
+    for (int step = 0; step < 100; ++step) {
+        fixture.advance(20);
+        endOpenRequests(fixture, "", "b");
+        BOOST_TEST(fixture.broker.freeSlots(engine) == 4U);
+    }
+    BOOST_TEST(completedOf(fixture, "s") == 20U);
+    BOOST_TEST(sendsOf(fixture, "b0") == 1U);
+    fixture.advance(63000);
+    BOOST_REQUIRE_EQUAL(fixture.results("b").size(), 20U);
+    BOOST_TEST((fixture.results("b")[0].phase == BulkItemPhase::DeadLettered));
+}
+
 BOOST_AUTO_TEST_CASE(startsItemsBesideJobWhoseRouteHasNoServers)
 {
     Fixture fixture;
@@ -189,11 +206,11 @@
     std::map<std::string, std::uint64_t> sound;
     int jobs = 0;
     const auto acceptOne = [&] {
-        constexpr std::array<const char *, 4> kinds{"s", "l", "b", "r"};
+        constexpr std::array<const char *, 5> kinds{"s", "l", "b", "r", "u"};
         const std::string kind = kinds.at(random() % kinds.size());
         const std::string id = kind + std::to_string(jobs++) + "-";
         const std::map<std::string, std::uint64_t> tokens{
-            {"s", 10}, {"l", 70}, {"b", memory + 1}, {"r", 10}};
+            {"s", 10}, {"l", 70}, {"b", memory + 1}, {"r", 10}, {"u", 10}};
         const int items = 1 + static_cast<int>(random() % 6);
         fixture.accept(id, items, 2000 + static_cast<int>(random() % 20000), tokens.at(kind));
         if (kind == "s" || kind == "l") {
@@ -223,7 +240,7 @@
         const auto room = fixture.broker.maxBatchTokens(engine);
         BOOST_TEST((waitingSmall == runningSmall || !room || *room < 10), "step " << step);
         if (random() % 3 != 0) {
-            endOpenRequests(fixture, "r", "");
+            endOpenRequests(fixture, "r", "u");
         }
     }
     for (const auto &[id, items] : sound) {
--- a/persimmonlb/bulk/bulkmaintenance.cpp
+++ b/persimmonlb/bulk/bulkmaintenance.cpp
@@ -225,6 +225,9 @@
 std::string_view BulkRunner::reasonOfAbandoning(const ItemKey &key, const BulkJob &job) const
 {
     const Progress *progress = findProgress(key);
+    if (progress != nullptr && progress->isUnsendable) {
+        return "no request can be made of the item";
+    }
     const auto routes = hooks_.routes();
     const Route *route = routes ? routeOf(job, *routes) : nullptr;
     const std::uint64_t tokens = job.items[key.index].tokens;
--- a/persimmonlb/bulk/bulkrunner.cpp
+++ b/persimmonlb/bulk/bulkrunner.cpp
@@ -106,7 +106,8 @@
         }
         const ItemKey key{id, index};
         const Progress *progress = item.progress != nullptr ? item.progress : findProgress(key);
-        if (progress != nullptr && search.monotonic < progress->notBefore) {
+        if (progress != nullptr
+            && (progress->isUnsendable || search.monotonic < progress->notBefore)) {
             continue;
         }
         const Milliseconds remaining
@@ -374,6 +375,10 @@
     if (run == nullptr) {
         return;
     }
+    if (end.code == ResultCode::MalformedRequest && end.sendState == SendState::NothingSent) {
+        handleUnsendable(key, end.message);
+        return;
+    }
     if (end.code != ResultCode::Ok) {
         const bool unreachable = end.sendState == SendState::NothingSent;
         Progress &progress = progress_[key];
@@ -421,6 +426,12 @@
             std::min(options_.refusalBackoff * (1U << doublings), options_.maxRefusalBackoff));
 }
 
+void BulkRunner::handleUnsendable(const ItemKey &key, std::string_view why)
+{
+    progress_[key].isUnsendable = true;
+    failRun(key, SlotOutcome::Abandoned, why, Milliseconds(0));
+}
+
 Milliseconds BulkRunner::backoffAfterAbort(Progress &progress) const
 {
     constexpr std::uint32_t maxDoublings = 10;
--- a/persimmonlb/bulk/bulkrunner.h
+++ b/persimmonlb/bulk/bulkrunner.h
@@ -107,8 +107,8 @@
 ///
 /// An item that cannot start now, whatever the reason, delays no other one: a search passes over
 /// items that no server has room for, that may not take a slot of the reserve, and that were
-/// refused or aborted lately. An item that is larger than the memory of each server is not sent,
-/// and ends when its job is abandoned.
+/// refused or aborted lately. An item that can never run, as it is larger than the memory of each
+/// server or no HTTP request can be made of it, is not sent, and ends when its job is abandoned.
 ///
 /// An accepted item is owed whatever happens to the servers that run it: aborted runs delay its
 /// next run, and neither block it nor count as attempts.
@@ -163,6 +163,7 @@
         std::uint64_t fingerprint = 0; ///< Identifies the item's request; 0 before its first run.
         std::uint32_t abortedRuns = 0; ///< Runs without an event that servers ended, in a row.
         std::uint32_t refusedRuns = 0; ///< Runs that servers refused, in a row.
+        bool isUnsendable = false; ///< No HTTP request can be made of the item.
         MonotonicTime notBefore; ///< Earliest start of the next run.
         ServerId lastServer; ///< Server of the item's latest run from this host.
         MonotonicTime lastRunAt; ///< Time at which that run started or, once it has ended, ended.
@@ -263,6 +264,8 @@
                  Milliseconds backoff);
     /// Ends a run that its server refused.
     void handleRefusal(const ItemKey &key);
+    /// Ends a run of which no request could be made; there will be no other one.
+    void handleUnsendable(const ItemKey &key, std::string_view why);
     /// Returns why an item whose job is abandoned was not completed.
     [[nodiscard]] std::string_view reasonOfAbandoning(const ItemKey &key, const BulkJob &job) const;
     /// Counts a run that its server ended without an event and returns the delay of the next one.
