Election: a leader takes part after a restart until its own removal is committed

Found by the fault matrix of changes of members, with two more faults: all hosts restart, and one of them loses its disk meanwhile. A leader that removes itself is the first to have the list without itself. If all hosts restart before others have it, and the host that joined (or another one) has lost its disk, the others hold the list of four voters and need three votes; the former leader has the longest log, so that it grants none, and as no member of its newest list it did not campaign after a restart either (without one it does). The group had no leader for good, with three of four disks alive.

A member takes part in elections by the list before, while the newest one, which removes it, is not known to be committed. It then wins by the votes of the new list, commits that and leads no more.

--- a/persimmonlb/agreement/agreement.cpp
+++ b/persimmonlb/agreement/agreement.cpp
@@ -340,6 +340,7 @@
 void Agreement::Implementation::configurationCommitted(const LogEntry &entry)
 {
     if (core_.role() != Role::Leader) {
+        core_.reviewMembership();
         return;
     }
     for (MemberEvent &event :
--- a/persimmonlb/agreement/core.cpp
+++ b/persimmonlb/agreement/core.cpp
@@ -36,7 +36,7 @@
     syncedIndex_ = log.compacted().index;
     leaderHeardAt = options.silentSince.value_or(now());
     restartElectionTimer();
-    configurationChanged();
+    reviewMembership();
     return {};
 }
 
@@ -102,9 +102,19 @@
     restartElectionTimer();
 }
 
+const Member *Core::membership() const
+{
+    const Configuration &latest = configurations_.latest();
+    const std::uint64_t index = configurations_.latestIndex();
+    if (latest.find(options.self) != nullptr || index <= commitIndex) {
+        return latest.find(options.self);
+    }
+    return configurations_.at(index - 1).find(options.self);
+}
+
 bool Core::admitted() const
 {
-    const Member *self = configurations_.latest().find(options.self);
+    const Member *self = membership();
     return self != nullptr && self->disk == dependencies.log.diskId();
 }
 
@@ -159,7 +169,7 @@
         changed = true;
     }
     if (changed) {
-        configurationChanged();
+        reviewMembership();
     }
 }
 
@@ -173,7 +183,7 @@
         upTo = std::min(upTo, index - 1);
     }
     configurations_.truncateFrom(index);
-    configurationChanged();
+    reviewMembership();
 }
 
 void Core::persist(std::function<void()> then)
@@ -209,7 +219,7 @@
     }
     syncedIndex_ = 0;
     BOOST_LEAF_CHECK(dependencies.machine.reload());
-    configurationChanged();
+    reviewMembership();
     return {};
 }
 
@@ -225,12 +235,12 @@
     return configurations_;
 }
 
-void Core::configurationChanged()
+void Core::reviewMembership()
 {
     if (role() == Role::Leader) {
         return; // A leader goes when its own removal is committed.
     }
-    const bool voter = admitted() && configurations_.latest().isVoter(options.self);
+    const bool voter = admitted() && membership()->voter;
     changeRole(voter ? RoleEvent::BecameVoter : RoleEvent::BecameNonVoter);
     if (diskRefused()) {
         LogLine(LogLevel::Error, "disk_unknown_to_group")
--- a/persimmonlb/agreement/internal/core.h
+++ b/persimmonlb/agreement/internal/core.h
@@ -37,8 +37,13 @@
     void changeRole(RoleEvent event);
     /// Draws a new election deadline.
     void restartElectionTimer();
-    /// This member may vote: its newest member list names it with its own disk.
+    /// This member may vote: the group knows it with its own disk. One that the newest list removes
+    /// takes part until it knows that to be committed: its log may be needed to commit it, as a
+    /// leader that removes itself is the first to have that list.
     [[nodiscard]] bool admitted() const;
+    /// Takes the role that the member lists give to this member. Call when they change, or when one
+    /// is committed.
+    void reviewMembership();
     /// The newest member list names this host with another disk.
     [[nodiscard]] bool diskRefused() const;
 
@@ -91,7 +96,8 @@
     std::function<void()> afterSync;
 
 private:
-    void configurationChanged();
+    /// This member in the list that is in force for it, see admitted(); or null.
+    [[nodiscard]] const Member *membership() const;
 
     RoleMachine roleMachine_;
     HardState hardState_;
--- a/persimmonlb/agreement/memberchangefaults_test.cpp
+++ b/persimmonlb/agreement/memberchangefaults_test.cpp
@@ -24,7 +24,15 @@
 enum class Leaving : std::uint8_t { Answers, Leads, IsLost };
 enum class Phase : std::uint8_t { Invited, Joined, Between, Replaced };
 enum class Struck : std::uint8_t { Joining, Leaving, Third };
-enum class Fault : std::uint8_t { Crash, DiskLost, Freeze, CutOff, CutOneWay };
+enum class Fault : std::uint8_t {
+    Crash,
+    DiskLost,
+    Freeze,
+    CutOff,
+    CutOneWay,
+    RestartOfAll,
+    DiskLostInRestartOfAll,
+};
 
 template <typename Value>
 struct Named {
@@ -46,11 +54,14 @@
                                        {"promoted and removed", Phase::Replaced}};
 const std::vector<Named<Struck>> strucks{
     {"joining", Struck::Joining}, {"leaving", Struck::Leaving}, {"third", Struck::Third}};
-const std::vector<Named<Fault>> faults{{"crash", Fault::Crash},
-                                       {"disk lost", Fault::DiskLost},
-                                       {"freeze", Fault::Freeze},
-                                       {"cut off", Fault::CutOff},
-                                       {"cut one way", Fault::CutOneWay}};
+const std::vector<Named<Fault>> faults{
+    {"crash", Fault::Crash},
+    {"disk lost", Fault::DiskLost},
+    {"freeze", Fault::Freeze},
+    {"cut off", Fault::CutOff},
+    {"cut one way", Fault::CutOneWay},
+    {"restart of all", Fault::RestartOfAll},
+    {"disk lost in a restart of all", Fault::DiskLostInRestartOfAll}};
 
 /// After the step was first seen: before, around and after it is committed.
 constexpr std::array<int, 4> delaysMs{0, 2, 5, 12};
@@ -119,6 +130,13 @@
         case Fault::DiskLost:
             lose(host);
             return;
+        case Fault::DiskLostInRestartOfAll:
+            lose(host);
+            restartAll();
+            return;
+        case Fault::RestartOfAll:
+            restartAll();
+            return;
         case Fault::Freeze:
             freeze(host);
             break;
@@ -200,6 +218,21 @@
     }
 
 private:
+    /// All hosts but the lost ones lose power for a second.
+    void restartAll()
+    {
+        for (const HostId &host : hosts()) {
+            if (lost_.contains(host)) {
+                continue;
+            }
+            crash(host);
+            outOfReach_[host] = scheduler.now();
+            scheduler.after(Milliseconds(1000), [this, host] {
+                restart(host);
+                outOfReach_.erase(host);
+            });
+        }
+    }
     void lose(const HostId &host)
     {
         loseDisk(host);
@@ -255,7 +288,8 @@
 /// True if the fault takes no more away than the group bears: one disk at a time.
 bool isBorne(Leaving leaving, Struck struck, Fault fault)
 {
-    return leaving != Leaving::IsLost || struck != Struck::Third || fault != Fault::DiskLost;
+    const bool losesDisk = fault == Fault::DiskLost || fault == Fault::DiskLostInRestartOfAll;
+    return leaving != Leaving::IsLost || struck != Struck::Third || !losesDisk;
 }
 
 } // namespace
